--- /dev/null
+++ b/libs/base/include/limpet/base/log.hpp
@@ -0,0 +1,75 @@
+/// \file
+/// Structured logs: one line of key=value pairs for each event.
+
+#pragma once
+
+#include <limpet/base/outcome.hpp>
+
+#include <concepts>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace limpet
+{
+
+enum class log_level
+{
+    debug,
+    info,
+    warn,
+    error
+};
+
+/// One key and its value, already formatted.
+struct log_field
+{
+    log_field(std::string_view name, std::string_view text)
+        : key(name),
+          value(text)
+    {
+    }
+
+    log_field(std::string_view name, const char* text)
+        : key(name),
+          value(text)
+    {
+    }
+
+    log_field(std::string_view name, bool flag)
+        : key(name),
+          value(flag ? "true" : "false")
+    {
+    }
+
+    template <class Number>
+    requires(std::integral<Number> || std::floating_point<Number>) &&
+        (!std::same_as<Number, bool>)log_field(std::string_view name,
+                                               Number number)
+        : key(name),
+    value(std::to_string(number))
+    {
+    }
+
+    std::string_view key;
+    std::string value;
+};
+
+/// Sends the log to standard error from the given level on. Call once, before
+/// other threads start.
+void open_log(std::string_view program, log_level lowest);
+
+/// Parses "debug", "info", "warn" or "error".
+outcome<log_level> parse_log_level(std::string_view text);
+
+/// Returns one line: the event's name and its fields. Values with spaces,
+/// quotes or control characters are quoted and escaped.
+std::string format_event(std::string_view event,
+                         std::initializer_list<log_field> fields);
+
+/// Writes one event. Thread-safe.
+void log_event(log_level level,
+               std::string_view event,
+               std::initializer_list<log_field> fields);
+
+} // namespace limpet
--- /dev/null
+++ b/libs/base/src/log.cpp
@@ -0,0 +1,148 @@
+#include <limpet/base/log.hpp>
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <array>
+#include <cstdio>
+
+namespace limpet
+{
+
+namespace
+{
+
+log4cxx::LoggerPtr logger()
+{
+    return log4cxx::Logger::getRootLogger();
+}
+
+log4cxx::LevelPtr native_level(log_level level)
+{
+    switch (level)
+    {
+    case log_level::debug:
+        return log4cxx::Level::getDebug();
+    case log_level::info:
+        return log4cxx::Level::getInfo();
+    case log_level::warn:
+        return log4cxx::Level::getWarn();
+    case log_level::error:
+        return log4cxx::Level::getError();
+    }
+    return log4cxx::Level::getError();
+}
+
+bool needs_quotes(std::string_view value)
+{
+    for (const char c : value)
+    {
+        if (c <= ' ' || c == '"' || c == '\\' || c == '=' || c == 0x7f)
+        {
+            return true;
+        }
+    }
+    return value.empty();
+}
+
+void append_escaped(std::string& line, char c)
+{
+    if (c == '"' || c == '\\')
+    {
+        line += '\\';
+        line += c;
+        return;
+    }
+    if (static_cast<unsigned char>(c) >= ' ' && c != 0x7f)
+    {
+        line += c;
+        return;
+    }
+    std::array<char, 8> code{};
+    std::snprintf(
+        code.data(), code.size(), "\\x%02x", static_cast<unsigned char>(c));
+    line += code.data();
+}
+
+void append_value(std::string& line, std::string_view value)
+{
+    if (!needs_quotes(value))
+    {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (const char c : value)
+    {
+        append_escaped(line, c);
+    }
+    line += '"';
+}
+
+} // namespace
+
+void open_log(std::string_view program, log_level lowest)
+{
+    const std::string pattern = "time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p "
+                                "program=" +
+                                std::string(program) + " %m%n";
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+        layout, log4cxx::ConsoleAppender::getSystemErr());
+    logger()->removeAllAppenders();
+    logger()->addAppender(appender);
+    logger()->setLevel(native_level(lowest));
+}
+
+outcome<log_level> parse_log_level(std::string_view text)
+{
+    if (text == "debug")
+    {
+        return log_level::debug;
+    }
+    if (text == "info")
+    {
+        return log_level::info;
+    }
+    if (text == "warn")
+    {
+        return log_level::warn;
+    }
+    if (text == "error")
+    {
+        return log_level::error;
+    }
+    return error{error_code::invalid_argument,
+                 "log level must be debug, info, warn or error"};
+}
+
+std::string format_event(std::string_view event,
+                         std::initializer_list<log_field> fields)
+{
+    std::string line = "event=";
+    append_value(line, event);
+    for (const log_field& field : fields)
+    {
+        line += ' ';
+        line += field.key;
+        line += '=';
+        append_value(line, field.value);
+    }
+    return line;
+}
+
+void log_event(log_level level,
+               std::string_view event,
+               std::initializer_list<log_field> fields)
+{
+    const log4cxx::LoggerPtr target = logger();
+    const log4cxx::LevelPtr native = native_level(level);
+    if (!target->isEnabledFor(native))
+    {
+        return;
+    }
+    target->forcedLog(native, format_event(event, fields), LOG4CXX_LOCATION);
+}
+
+} // namespace limpet
