Public headers of the HTTP library

Cause: the router, the stand-ins and the control programs need one HTTP interface to be written side by side.

Conclusion: back-pressure, truncation and whether a request may have reached a server are part of the interface, since retry decisions rest on them.

--- /dev/null
+++ b/libs/http/include/limpet/http/client.hpp
@@ -0,0 +1,87 @@
+/// \file
+/// HTTP/1.1 client with kept connections.
+
+#pragma once
+
+#include <limpet/base/outcome.hpp>
+#include <limpet/base/units.hpp>
+#include <limpet/http/message.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace limpet::http
+{
+
+/// Bounds on what one server may cost.
+struct client_limits
+{
+    std::size_t header_bytes = 16 * 1024;
+    duration connect_timeout = seconds(2);
+    /// Longest time without a byte of the answer after its head.
+    duration read_timeout = seconds(30);
+    std::size_t idle_connections_per_endpoint = 32;
+};
+
+/// Failure of a request.
+struct request_failure
+{
+    error reason;
+    /// Whether a byte of the request may have reached the server. If not, the
+    /// request has certainly not run.
+    bool may_have_reached_server = true;
+};
+
+/// An answer whose body is read in parts. Destroying it before the end closes
+/// the connection.
+class response_stream
+{
+public:
+    virtual ~response_stream() = default;
+
+    virtual const response_head& head() const = 0;
+
+    /// Returns the next part of the body, nothing at its regular end, or an
+    /// error if it was cut off or took too long.
+    virtual boost::asio::awaitable<outcome<std::optional<std::string>>>
+    read_some() = 0;
+
+    /// Ends a pending read with error_code::cancelled and closes the
+    /// connection. Call on the executor of the reader.
+    virtual void cancel() = 0;
+};
+
+/// Sends requests. Safe to use by several coroutines of several threads.
+class client
+{
+public:
+    static std::shared_ptr<client> create(const client_limits& limits);
+
+    virtual ~client() = default;
+
+    /// Sends the request and returns the answer once its head has arrived.
+    /// A kept connection that turns out closed before a byte of the request
+    /// was written is replaced; nothing else is retried. The head must arrive
+    /// within the timeout.
+    virtual boost::asio::awaitable<
+        std::variant<std::unique_ptr<response_stream>, request_failure>>
+    send(boost::asio::ip::tcp::endpoint server,
+         request message,
+         duration head_timeout) = 0;
+
+    /// Sends the request and reads the whole answer, at most max_body bytes.
+    boost::asio::awaitable<std::variant<response, request_failure>>
+    fetch(boost::asio::ip::tcp::endpoint server,
+          request message,
+          duration timeout,
+          std::size_t max_body);
+};
+
+} // namespace limpet::http
--- /dev/null
+++ b/libs/http/include/limpet/http/server.hpp
@@ -0,0 +1,97 @@
+/// \file
+/// HTTP/1.1 server.
+
+#pragma once
+
+#include <limpet/base/outcome.hpp>
+#include <limpet/base/units.hpp>
+#include <limpet/http/message.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace limpet::http
+{
+
+/// Bounds on what one caller may cost.
+struct server_limits
+{
+    std::size_t header_bytes = 16 * 1024;
+    std::size_t body_bytes = 4 * 1024 * 1024;
+    std::size_t connections = 10000;
+    /// Time for a request to arrive whole.
+    duration receive_timeout = seconds(10);
+    /// Time that a connection without a request stays open.
+    duration idle_timeout = seconds(60);
+    /// Time for the caller to take one written part.
+    duration write_timeout = seconds(30);
+};
+
+/// One received request and its answer. Used by one coroutine at a time, on
+/// the connection's executor.
+class exchange
+{
+public:
+    virtual ~exchange() = default;
+
+    /// Returns the request.
+    virtual const request& received() const = 0;
+
+    /// Sends the whole answer. Call at most once and not after begin_stream.
+    virtual boost::asio::awaitable<status> respond(response answer) = 0;
+
+    /// Sends the head of an answer whose length is not known.
+    virtual boost::asio::awaitable<status> begin_stream(response_head head) = 0;
+
+    /// Sends a part of the body. Completes when the socket has taken it, so a
+    /// slow caller slows the writer.
+    virtual boost::asio::awaitable<status> write(std::string_view bytes) = 0;
+
+    /// Ends the body regularly. A stream that is not ended is cut off, which
+    /// the caller can tell from a whole one.
+    virtual boost::asio::awaitable<status> end_stream() = 0;
+
+    /// Calls the function once if the caller closes the connection before the
+    /// answer's end. Null removes it.
+    virtual void on_caller_gone(std::function<void()> call) = 0;
+};
+
+/// Accepts connections and hands each request to the handler.
+class server
+{
+public:
+    /// Called for each request, on the connection's executor. If it returns
+    /// without an answer, the server answers with status 500.
+    using handler = std::function<boost::asio::awaitable<void>(exchange&)>;
+
+    /// Listens at the endpoint; port 0 picks a free one.
+    static outcome<std::unique_ptr<server>>
+    listen(boost::asio::io_context& context,
+           const boost::asio::ip::tcp::endpoint& endpoint,
+           const server_limits& limits,
+           handler handle);
+
+    virtual ~server() = default;
+
+    /// Returns the address in use.
+    virtual boost::asio::ip::tcp::endpoint local_endpoint() const = 0;
+
+    /// Stops accepting; open connections end after the answer under way.
+    virtual void stop_accepting() = 0;
+
+    /// Closes all connections at once.
+    virtual void close() = 0;
+
+    /// Returns the number of open connections. Thread-safe.
+    virtual std::size_t connection_count() const = 0;
+
+    /// Returns the number of requests without a complete answer. Thread-safe.
+    virtual std::size_t open_request_count() const = 0;
+};
+
+} // namespace limpet::http
