--- /dev/null
+++ b/daemons/limpet-control/main.cpp
@@ -0,0 +1,71 @@
+/// \file
+/// limpet-control: keeps the configuration and claims, replicated and durable.
+
+#include <limpet/control/control_server.hpp>
+#include <limpet/daemon/run.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+DEFINE_string(settings, "", "JSON file with the replica's settings; required");
+DEFINE_bool(check, false, "Check the settings and exit");
+
+namespace {
+
+using namespace limpet;
+
+int run_control(const control::control_settings& settings)
+{
+    open_log("limpet-control", settings.log);
+    boost::asio::io_context context;
+    daemon::runner runner(context, 1);
+    auto created = control::control_server::create(
+        context,
+        settings,
+        [&runner]
+        {
+            runner.stop(daemon::exit_failed);
+        });
+    if (!is_ok(created))
+    {
+        std::cerr << "limpet-control: " << error_of(created).message << "\n";
+        return daemon::exit_failed;
+    }
+    control::control_server& server = *value_of(created);
+    return runner.run(
+        settings.drain_timeout,
+        [&server](std::function<void()> on_drained)
+        {
+            server.drain(std::move(on_drained));
+        },
+        [&server]
+        {
+            server.close();
+        });
+}
+
+} // namespace
+
+int main(int argc, char* argv[])
+{
+    gflags::SetUsageMessage(
+        "keeps the configuration and claims, replicated and durable.\n"
+        "Usage: limpet-control --settings=FILE [--check]\n"
+        "SIGTERM ends it after it has handed leadership over; a second "
+        "SIGTERM at once.");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto settings = control::read_control_settings(FLAGS_settings);
+    if (!is_ok(settings))
+    {
+        std::cerr << "limpet-control: " << error_of(settings).message << "\n";
+        return daemon::exit_bad_settings;
+    }
+    if (FLAGS_check)
+    {
+        std::cout << FLAGS_settings << ": ok\n";
+        return 0;
+    }
+    return run_control(value_of(settings));
+}
--- a/libs/base/include/limpet/base/log.hpp
+++ b/libs/base/include/limpet/base/log.hpp
@@ -21,6 +21,11 @@
     error
 };
 
+/// A number that a log field accepts; flags have a constructor of their own.
+template <class T>
+concept loggable_number = (std::integral<T> ||
+                           std::floating_point<T>)&&!std::same_as<T, bool>;
+
 /// One key and its value, already formatted.
 struct log_field
 {
@@ -42,12 +47,10 @@
     {
     }
 
-    template <class Number>
-    requires(std::integral<Number> || std::floating_point<Number>) &&
-        (!std::same_as<Number, bool>)log_field(std::string_view name,
-                                               Number number)
+    template <loggable_number Number>
+    log_field(std::string_view name, Number number)
         : key(name),
-    value(std::to_string(number))
+          value(std::to_string(number))
     {
     }
 
@@ -56,7 +59,7 @@
 };
 
 /// Sends the log to standard error from the given level on. Call once, before
-/// other threads start.
+/// other threads start. Events before the call are dropped.
 void open_log(std::string_view program, log_level lowest);
 
 /// Parses "debug", "info", "warn" or "error".
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -5,6 +5,7 @@
 #include <log4cxx/patternlayout.h>
 
 #include <array>
+#include <atomic>
 #include <cstdio>
 
 namespace limpet
@@ -13,6 +14,8 @@
 namespace
 {
 
+std::atomic<bool> is_open{false};
+
 log4cxx::LoggerPtr logger()
 {
     return log4cxx::Logger::getRootLogger();
@@ -93,6 +96,7 @@
     logger()->removeAllAppenders();
     logger()->addAppender(appender);
     logger()->setLevel(native_level(lowest));
+    is_open = true;
 }
 
 outcome<log_level> parse_log_level(std::string_view text)
@@ -136,6 +140,10 @@
                std::string_view event,
                std::initializer_list<log_field> fields)
 {
+    if (!is_open)
+    {
+        return;
+    }
     const log4cxx::LoggerPtr target = logger();
     const log4cxx::LevelPtr native = native_level(level);
     if (!target->isEnabledFor(native))
--- /dev/null
+++ b/libs/control/include/limpet/control/control_server.hpp
@@ -0,0 +1,39 @@
+/// \file
+/// A control replica as a whole.
+
+#pragma once
+
+#include <limpet/control/control_settings.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace limpet::control {
+
+/// Keeps the configuration, takes operators' commands and gives routers the
+/// configuration in force. Runs on one io_context with one thread.
+class control_server
+{
+public:
+    /// Opens the storage, listens and starts. `on_failed` is called once when
+    /// the storage fails. Errors: io_error, corrupt.
+    static outcome<std::unique_ptr<control_server>> create(
+        boost::asio::io_context& context,
+        const control_settings& settings,
+        std::function<void()> on_failed);
+
+    virtual ~control_server() = default;
+
+    /// Hands leadership over, syncs and calls back.
+    virtual void drain(std::function<void()> on_drained) = 0;
+
+    /// Ends everything at once.
+    virtual void close() = 0;
+
+    /// Returns the address for operators in use.
+    virtual boost::asio::ip::tcp::endpoint operators() const = 0;
+};
+
+} // namespace limpet::control
--- /dev/null
+++ b/libs/control/include/limpet/control/control_settings.hpp
@@ -0,0 +1,50 @@
+/// \file
+/// Settings of a control replica.
+
+#pragma once
+
+#include <limpet/base/ids.hpp>
+#include <limpet/base/log.hpp>
+#include <limpet/base/outcome.hpp>
+#include <limpet/base/units.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json.hpp>
+
+#include <string>
+#include <vector>
+
+namespace limpet::control {
+
+/// Another replica of the control group.
+struct replica_peer
+{
+    vm_id vm;
+    boost::asio::ip::tcp::endpoint address;
+};
+
+/// Settings of a control replica, all values checked.
+struct control_settings
+{
+    vm_id vm;
+    data_centre_id data_centre;
+    /// Where operators reach the replica.
+    boost::asio::ip::tcp::endpoint operators;
+    /// Where the project's other processes reach the replica.
+    boost::asio::ip::tcp::endpoint peers;
+    /// The other replicas of the group.
+    std::vector<replica_peer> group;
+    /// Folder for the log and snapshots.
+    std::string data_folder;
+    log_level log = log_level::info;
+    duration drain_timeout = seconds(10);
+};
+
+/// Parses the settings' document. Errors name the path and the reason.
+outcome<control_settings>
+parse_control_settings(const boost::json::value& document);
+
+/// Reads the settings from a file. Errors name the file too.
+outcome<control_settings> read_control_settings(const std::string& file);
+
+} // namespace limpet::control
--- /dev/null
+++ b/libs/control/src/control_settings.cpp
@@ -0,0 +1,107 @@
+#include <limpet/control/control_settings.hpp>
+
+#include <limpet/base/settings_reader.hpp>
+#include <limpet/http/endpoint.hpp>
+
+namespace limpet::control {
+
+namespace {
+
+constexpr duration max_drain = std::chrono::hours(1);
+
+boost::asio::ip::tcp::endpoint
+read_endpoint(settings_reader& reader, std::string_view key)
+{
+    const auto parsed = http::parse_endpoint(reader.text(key));
+    if (!is_ok(parsed))
+    {
+        reader.fail(key, error_of(parsed).message);
+        return {};
+    }
+    return value_of(parsed);
+}
+
+std::vector<replica_peer> read_group(settings_reader& reader)
+{
+    std::vector<replica_peer> group;
+    const boost::json::value* list = reader.child("group", false);
+    if (list == nullptr)
+    {
+        return group;
+    }
+    if (!list->is_array())
+    {
+        reader.fail("group", "must be a list");
+        return group;
+    }
+    for (const boost::json::value& entry : list->get_array())
+    {
+        settings_reader item(
+            entry,
+            reader.path_of("group") + "[" + std::to_string(group.size()) +
+                "]");
+        replica_peer peer;
+        peer.vm = vm_id(item.text("vm"));
+        peer.address = read_endpoint(item, "address");
+        group.push_back(peer);
+        const status result = item.finish();
+        if (!is_ok(result))
+        {
+            reader.fail("group", error_of(result).message);
+        }
+    }
+    return group;
+}
+
+} // namespace
+
+outcome<control_settings>
+parse_control_settings(const boost::json::value& document)
+{
+    settings_reader reader(document, "control");
+    control_settings settings;
+    settings.vm = vm_id(reader.text("vm"));
+    settings.data_centre = data_centre_id(reader.text("data_centre"));
+    settings.operators = read_endpoint(reader, "operators");
+    settings.peers = read_endpoint(reader, "peers");
+    settings.group = read_group(reader);
+    settings.data_folder = reader.text("data_folder");
+    const auto level = parse_log_level(reader.text_or("log_level", "info"));
+    if (is_ok(level))
+    {
+        settings.log = value_of(level);
+    }
+    else
+    {
+        reader.fail("log_level", error_of(level).message);
+    }
+    settings.drain_timeout = reader.milliseconds_or(
+        "drain_timeout_ms",
+        settings.drain_timeout,
+        duration::zero(),
+        max_drain);
+    const status result = reader.finish();
+    if (!is_ok(result))
+    {
+        return error_of(result);
+    }
+    return settings;
+}
+
+outcome<control_settings> read_control_settings(const std::string& file)
+{
+    const auto document = read_json_file(file);
+    if (!is_ok(document))
+    {
+        return error_of(document);
+    }
+    auto settings = parse_control_settings(value_of(document));
+    if (!is_ok(settings))
+    {
+        return error{
+            error_of(settings).code, file + ": " + error_of(settings).message};
+    }
+    return settings;
+}
+
+} // namespace limpet::control
--- /dev/null
+++ b/libs/daemon/src/run.cpp
@@ -0,0 +1,118 @@
+#include <limpet/daemon/run.hpp>
+
+#include <boost/asio/post.hpp>
+
+#include <csignal>
+#include <thread>
+#include <vector>
+
+namespace limpet::daemon {
+
+namespace net = boost::asio;
+
+namespace {
+
+/// Time in which closed connections end before the threads are stopped.
+constexpr duration close_time = milliseconds(500);
+
+} // namespace
+
+runner::runner(net::io_context& context, std::size_t threads)
+    : m_context(context)
+    , m_threads(threads)
+    , m_signals(context, SIGTERM, SIGINT)
+    , m_limit(context)
+{
+}
+
+int runner::run(
+    duration drain_limit, drain_function drain, std::function<void()> close)
+{
+    m_drain_limit = drain_limit;
+    m_drain = std::move(drain);
+    m_close = std::move(close);
+    wait_for_signal();
+    std::vector<std::thread> threads;
+    for (std::size_t i = 1; i < m_threads; ++i)
+    {
+        threads.emplace_back(
+            [this]
+            {
+                m_context.run();
+            });
+    }
+    m_context.run();
+    for (std::thread& thread : threads)
+    {
+        thread.join();
+    }
+    return m_exit_code;
+}
+
+void runner::stop(int exit_code)
+{
+    net::post(
+        m_context,
+        [this, exit_code]
+        {
+            finish(exit_code);
+        });
+}
+
+void runner::wait_for_signal()
+{
+    m_signals.async_wait(
+        [this](boost::system::error_code cancelled, int)
+        {
+            if (!cancelled)
+            {
+                on_signal();
+            }
+        });
+}
+
+void runner::on_signal()
+{
+    if (m_draining)
+    {
+        finish(exit_cut_off);
+        return;
+    }
+    m_draining = true;
+    wait_for_signal();
+    m_limit.expires_after(m_drain_limit);
+    m_limit.async_wait(
+        [this](boost::system::error_code cancelled)
+        {
+            if (!cancelled)
+            {
+                finish(exit_cut_off);
+            }
+        });
+    m_drain(
+        [this]
+        {
+            finish(exit_ok);
+        });
+}
+
+void runner::finish(int exit_code)
+{
+    if (m_finished.exchange(true))
+    {
+        return;
+    }
+    m_exit_code = exit_code;
+    log_event(log_level::info, "program.end", {{"exit_code", exit_code}});
+    m_close();
+    boost::system::error_code ignored;
+    m_signals.cancel(ignored);
+    m_limit.expires_after(close_time);
+    m_limit.async_wait(
+        [this](boost::system::error_code)
+        {
+            m_context.stop();
+        });
+}
+
+} // namespace limpet::daemon
--- /dev/null
+++ b/libs/pipeline/src/entry_service.cpp
@@ -0,0 +1,392 @@
+#include "entry_service.hpp"
+
+#include "answers.hpp"
+#include "request_ids.hpp"
+
+#include <limpet/base/log.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace limpet::pipeline {
+
+namespace net = boost::asio;
+
+namespace {
+
+/// Retries for each first try, and how many may be saved up.
+constexpr double retry_ratio = 0.1;
+constexpr double retry_burst = 20;
+/// Tries of one request over all engines, queueing included.
+constexpr std::uint32_t max_attempts = 12;
+/// Time for the list of owners to change before another try.
+constexpr duration owner_retry_delay = milliseconds(100);
+/// Time after which to try again when no engine could be reached.
+constexpr duration unavailable_retry = seconds(1);
+
+net::awaitable<void> wait_for(duration length)
+{
+    net::steady_timer timer(co_await net::this_coro::executor);
+    timer.expires_after(length);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+        net::redirect_error(net::use_awaitable, ignored));
+}
+
+placement::chat_holders to_holders(const std::vector<chat_hint>& hints)
+{
+    placement::chat_holders holders;
+    for (const chat_hint& hint : hints)
+    {
+        if (holders.size() == holders.capacity())
+        {
+            break;
+        }
+        holders.push_back({hint.engine, hint.run, hint.tokens, {}});
+    }
+    return holders;
+}
+
+refusal no_engine(const model_id& model)
+{
+    return {
+        {error_code::unavailable,
+         "no engine in service for '" + model.get() + "'"},
+        run_outcome::not_run,
+        unavailable_retry};
+}
+
+} // namespace
+
+/// Engines that one request has tried and will try.
+struct entry_service::journey
+{
+    journey(
+        routing_table::chooser_ptr engines_of_model, placement::route planned)
+        : engines(std::move(engines_of_model))
+        , plan(std::move(planned))
+        , next(plan.order)
+    {
+    }
+
+    /// Returns the engine to try next. Once `tries` engines had no room, the
+    /// request queues at its first choice.
+    std::optional<placement::engine_index> take(std::size_t tries)
+    {
+        if (next.empty() || tried.size() >= tries)
+        {
+            if (queued || plan.order.empty())
+            {
+                return std::nullopt;
+            }
+            queued = true;
+            return first_usable();
+        }
+        const placement::engine_index chosen = next.front();
+        next.erase(next.begin());
+        if (tried.size() < tried.capacity())
+        {
+            tried.push_back(chosen);
+        }
+        return chosen;
+    }
+
+    /// Tries the engine again, at its new owner.
+    void put_back(placement::engine_index index)
+    {
+        queued = false;
+        tried.erase(
+            std::remove(tried.begin(), tried.end(), index), tried.end());
+        if (next.size() == next.capacity())
+        {
+            next.pop_back();
+        }
+        next.insert(next.begin(), index);
+    }
+
+    std::optional<placement::engine_index> first_usable() const
+    {
+        for (const placement::engine_index index : plan.order)
+        {
+            if (std::find(failed.begin(), failed.end(), index) == failed.end())
+            {
+                return index;
+            }
+        }
+        return std::nullopt;
+    }
+
+    routing_table::chooser_ptr engines;
+    placement::route plan;
+    placement::engine_order next;
+    placement::engine_order tried;
+    /// Engines that broke off or could not be reached.
+    std::vector<placement::engine_index> failed;
+    bool queued = false;
+};
+
+entry_service::entry_service(entry_parts parts)
+    : m_parts(std::move(parts))
+    , m_open(std::make_shared<open_requests>())
+    , m_budget(retry_ratio, retry_burst)
+{
+    m_filters = {
+        authenticate_filter{}, classify_filter{}, admit_filter{m_open}};
+}
+
+net::awaitable<void> entry_service::handle(http::exchange& caller)
+{
+    ++m_open_count;
+    request_context context(caller, make_request_id());
+    context.received_at = monotonic_clock::now();
+    context.config = m_parts.config();
+    co_await run(context);
+    if (context.admitted)
+    {
+        m_open->close(context.team);
+    }
+    m_parts.metrics->record(context, monotonic_clock::now());
+    log_end(context);
+    --m_open_count;
+}
+
+void entry_service::receive(
+    const wire::link_identity& from, exchange_message message)
+{
+    m_registry.deliver(from, message.exchange, std::move(message.content));
+}
+
+void entry_service::on_peer_lost(const vm_id& peer)
+{
+    m_registry.on_peer_lost(peer);
+}
+
+filter_result entry_service::run_filters(request_context& context)
+{
+    if (!context.config)
+    {
+        return refusal{
+            {error_code::unavailable, "no configuration yet"},
+            run_outcome::not_run,
+            unavailable_retry};
+    }
+    for (const filter& step : m_filters)
+    {
+        filter_result result = apply(step, context);
+        if (std::holds_alternative<refusal>(result))
+        {
+            return result;
+        }
+    }
+    return {};
+}
+
+net::awaitable<void> entry_service::run(request_context& context)
+{
+    filter_result result = run_filters(context);
+    if (const auto* why = std::get_if<refusal>(&result))
+    {
+        co_await refuse(context, *why);
+        co_return;
+    }
+    answer_writer writer(context);
+    writer.set_last_event(context.resume_after);
+    result = co_await try_engines(context, writer);
+    context.caller.on_caller_gone(nullptr);
+    if (const auto* why = std::get_if<refusal>(&result))
+    {
+        context.outcome = why->outcome;
+        if (!writer.started())
+        {
+            co_await refuse(context, *why);
+        }
+        co_return;
+    }
+    context.outcome = run_outcome::complete;
+    co_await writer.complete();
+}
+
+net::awaitable<filter_result> entry_service::try_engines(
+    request_context& context, answer_writer& writer)
+{
+    const auto engines = m_parts.routes->find(context.model);
+    if (!engines || engines->size() == 0)
+    {
+        co_return no_engine(context.model);
+    }
+    const placement::chat_key chat =
+        placement::make_chat_key(context.team, context.chat);
+    journey trip(
+        engines,
+        placement::plan_route(
+            *engines,
+            {chat, context.returning, context.placement_hint},
+            m_route_settings,
+            monotonic_clock::now()));
+    {
+        const std::lock_guard lock(m_budget_mutex);
+        m_budget.on_request();
+    }
+    refusal last = no_engine(context.model);
+    while (context.attempts < max_attempts &&
+           monotonic_clock::now() < context.deadline)
+    {
+        const auto index = trip.take(m_route_settings.tries);
+        if (!index)
+        {
+            break;
+        }
+        const engine_id& engine = engines->engine(*index).id;
+        const auto target = find_owner(engine, !trip.queued);
+        if (!target)
+        {
+            trip.failed.push_back(*index);
+            continue;
+        }
+        ++context.attempts;
+        context.engine = engine;
+        const attempt_result result =
+            co_await try_engine(context, writer, *target);
+        if (result.result == finish_result::complete)
+        {
+            tell_home(context, trip);
+            co_return std::monostate{};
+        }
+        if (result.result == finish_result::not_run)
+        {
+            last = {result.reason, run_outcome::not_run, result.retry_after};
+            trip.next = placement::prefer_holders(
+                *engines, trip.next, to_holders(result.holders), trip.tried);
+            if (result.reason.code == error_code::cancelled)
+            {
+                break;
+            }
+            if (result.reason.code == error_code::not_owner)
+            {
+                trip.put_back(*index);
+                co_await wait_for(owner_retry_delay);
+            }
+            continue;
+        }
+        last = {result.reason, run_outcome::unknown, {}};
+        trip.failed.push_back(*index);
+        if (!may_retry(context, writer, result))
+        {
+            break;
+        }
+        writer.restart();
+    }
+    if (context.repeatable && !writer.started() &&
+        last.outcome == run_outcome::unknown)
+    {
+        last.retry_after = unavailable_retry;
+    }
+    co_return last;
+}
+
+net::awaitable<attempt_result> entry_service::try_engine(
+    request_context& context,
+    answer_writer& writer,
+    const attempt_target& target)
+{
+    const auto box = std::make_shared<attempt_mailbox>(
+        co_await net::this_coro::executor);
+    context.caller.on_caller_gone(
+        [box]
+        {
+            box->push(caller_gone{});
+        });
+    attempt one(context, writer, m_registry, *m_parts.hub, target, box);
+    co_return co_await one.run();
+}
+
+net::awaitable<void>
+entry_service::refuse(request_context& context, const refusal& why)
+{
+    context.outcome = why.outcome;
+    context.status = status_of(why.reason.code);
+    http::response answer = make_refusal(context.id, why);
+    co_await context.caller.respond(std::move(answer));
+}
+
+std::optional<attempt_target> entry_service::find_owner(
+    const engine_id& engine, bool may_go_elsewhere) const
+{
+    const auto view = m_parts.members->view();
+    const membership::router_record* owner = view->owner_of(engine);
+    if (owner == nullptr)
+    {
+        return std::nullopt;
+    }
+    return attempt_target{
+        engine, owner->self.vm, owner->started, may_go_elsewhere};
+}
+
+bool entry_service::may_retry(
+    const request_context& context,
+    const answer_writer& writer,
+    const attempt_result& result)
+{
+    if (!context.repeatable || result.caller_lost || !writer.can_resume())
+    {
+        return false;
+    }
+    const std::lock_guard lock(m_budget_mutex);
+    return m_budget.try_retry();
+}
+
+void entry_service::tell_home(
+    const request_context& context, const journey& trip)
+{
+    if (!context.returning)
+    {
+        return;
+    }
+    const auto view = m_parts.members->view();
+    const auto* home =
+        view->owner_of(trip.engines->engine(trip.plan.home).id);
+    const auto* server = view->owner_of(context.engine);
+    const auto served = trip.engines->find(context.engine);
+    if (home == nullptr || home == server || !served)
+    {
+        return;
+    }
+    placed_message placed{
+        context.team,
+        context.chat,
+        {context.engine,
+         trip.engines->engine(*served).run,
+         token_count(context.prompt_tokens + context.events)}};
+    // A lost message costs cache reuse only.
+    m_parts.hub->send(
+        home->self.vm,
+        wire::channel::exchange,
+        encode({exchange_id(0), std::move(placed)}));
+}
+
+void entry_service::log_end(const request_context& context) const
+{
+    const duration whole = monotonic_clock::now() - context.received_at;
+    log_event(
+        log_level::info,
+        "request.end",
+        {{"request", context.id.get()},
+         {"partner", context.partner.get()},
+         {"team", context.team.get()},
+         {"chat", context.chat.get()},
+         {"model", context.model.get()},
+         {"engine", context.engine.get()},
+         {"outcome", to_string(context.outcome)},
+         {"status", context.status},
+         {"attempts", context.attempts},
+         {"events", context.events},
+         {"first_token_ms",
+          context.first_token ? to_milliseconds(*context.first_token) : 0.0},
+         {"whole_ms", to_milliseconds(whole)}});
+}
+
+} // namespace limpet::pipeline
--- /dev/null
+++ b/libs/pipeline/src/entry_service.hpp
@@ -0,0 +1,88 @@
+/// \file
+/// Takes callers' requests and sees them answered.
+
+#pragma once
+
+#include "attempt.hpp"
+#include "filters.hpp"
+#include "fleet.hpp"
+#include "request_metrics.hpp"
+#include "routing_table.hpp"
+
+#include <limpet/admission/retry_budget.hpp>
+#include <limpet/placement/route.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace limpet::pipeline {
+
+/// Parts that the entry service works with.
+struct entry_parts
+{
+    std::shared_ptr<wire::link_hub> hub;
+    std::shared_ptr<fleet> members;
+    std::shared_ptr<routing_table> routes;
+    std::shared_ptr<request_metrics> metrics;
+    /// Returns the configuration in force, or null before there is one.
+    std::function<config::view_ptr()> config;
+};
+
+/// Passes each request through the filters, then tries engines until one
+/// answers. Thread-safe.
+class entry_service
+{
+public:
+    explicit entry_service(entry_parts parts);
+
+    /// Answers one request.
+    boost::asio::awaitable<void> handle(http::exchange& caller);
+
+    /// Takes a message of an exchange from an engine's owner.
+    void receive(const wire::link_identity& from, exchange_message message);
+
+    /// Tells the exchanges with the router that messages may be lost.
+    void on_peer_lost(const vm_id& peer);
+
+    /// Returns the number of requests that have not ended.
+    std::size_t open_count() const noexcept
+    {
+        return m_open_count;
+    }
+
+private:
+    struct journey;
+
+    filter_result run_filters(request_context& context);
+    boost::asio::awaitable<void> run(request_context& context);
+    boost::asio::awaitable<filter_result>
+    try_engines(request_context& context, answer_writer& writer);
+    boost::asio::awaitable<attempt_result> try_engine(
+        request_context& context,
+        answer_writer& writer,
+        const attempt_target& target);
+    boost::asio::awaitable<void>
+    refuse(request_context& context, const refusal& why);
+    std::optional<attempt_target>
+    find_owner(const engine_id& engine, bool may_go_elsewhere) const;
+    bool may_retry(
+        const request_context& context,
+        const answer_writer& writer,
+        const attempt_result& result);
+    void tell_home(const request_context& context, const journey& trip);
+    void log_end(const request_context& context) const;
+
+    entry_parts m_parts;
+    std::vector<filter> m_filters;
+    std::shared_ptr<open_requests> m_open;
+    attempt_registry m_registry;
+    placement::route_settings m_route_settings;
+    std::mutex m_budget_mutex;
+    admission::retry_budget m_budget;
+    std::atomic<std::size_t> m_open_count{0};
+};
+
+} // namespace limpet::pipeline
--- /dev/null
+++ b/libs/pipeline/src/event_splitter.hpp
@@ -0,0 +1,58 @@
+/// \file
+/// Cuts a server-sent event stream between its events.
+
+#pragma once
+
+#include <limpet/base/outcome.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace limpet::pipeline {
+
+/// Whole events that a part of a stream completed.
+struct event_batch
+{
+    /// The events as received, each with its closing blank line.
+    std::string bytes;
+    /// Id of the last numbered event in the batch, 0 without.
+    std::uint64_t last_event = 0;
+    /// Number of output tokens, one for each numbered event.
+    std::uint64_t events = 0;
+    /// Whether the stream's closing event is in the batch.
+    bool done = false;
+};
+
+/// Finds event boundaries, checks that numbered events follow each other, and
+/// drops those that the caller already has. Events without an id are passed
+/// on as they are.
+class event_splitter
+{
+public:
+    /// Events up to and including `resume_after` are dropped. An event may
+    /// have at most max_event_bytes.
+    event_splitter(std::uint64_t resume_after, std::size_t max_event_bytes);
+
+    /// Takes the next bytes. Errors: malformed for an event that is too long,
+    /// an id that is no number, or a gap between ids.
+    outcome<event_batch> feed(std::string_view bytes);
+
+    /// Returns whether the closing event was seen.
+    bool done() const noexcept
+    {
+        return m_done;
+    }
+
+private:
+    status take_event(std::string_view event, event_batch& batch);
+
+    std::uint64_t m_last_event;
+    std::size_t m_max_event_bytes;
+    std::string m_rest;
+    std::size_t m_scanned = 0;
+    bool m_done = false;
+};
+
+} // namespace limpet::pipeline
--- /dev/null
+++ b/libs/pipeline/src/owner_service.hpp
@@ -0,0 +1,125 @@
+/// \file
+/// Serves the requests for the engines that this router owns.
+
+#pragma once
+
+#include "fleet.hpp"
+#include "served_exchange.hpp"
+#include "shared_directory.hpp"
+
+#include <limpet/admission/dispatcher.hpp>
+#include <limpet/claims/dispatch_ledger.hpp>
+#include <limpet/config/config_view.hpp>
+#include <limpet/placement/load_bound.hpp>
+
+#include <memory>
+#include <mutex>
+#include <shared_mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace limpet::pipeline {
+
+/// State of an engine for operators.
+struct engine_status
+{
+    engine_id engine;
+    std::uint32_t in_flight = 0;
+    std::size_t waiting = 0;
+    std::uint32_t limit = 0;
+    std::uint32_t bound = 0;
+    bool in_service = true;
+};
+
+/// Receives exchanges, queues them at their engine's dispatcher and runs
+/// them. Each engine has a lock of its own. Thread-safe.
+class owner_service : public std::enable_shared_from_this<owner_service>
+{
+public:
+    owner_service(
+        boost::asio::io_context& context,
+        std::shared_ptr<wire::link_hub> hub,
+        std::shared_ptr<http::client> client,
+        std::shared_ptr<fleet> members,
+        std::shared_ptr<shared_directory> directory);
+
+    /// Takes a message of an exchange from its entry router.
+    void receive(const wire::link_identity& from, exchange_message message);
+
+    /// Takes the list of engines or the configuration after a change.
+    void update(
+        const fleet::view_ptr& members, const config::view_ptr& config);
+
+    /// Takes a change of this router's standing towards an engine.
+    void on_ownership(const membership::ownership_changed& change);
+
+    /// Ends the repeatable exchanges of an entry router that was lost; it
+    /// resumes them elsewhere.
+    void on_peer_lost(const vm_id& peer);
+
+    /// Takes a backend server's load report.
+    void report(const engine_id& engine, const placement::engine_report& load);
+
+    /// Does what is due.
+    void tick(time_point now);
+
+    /// Returns the number of exchanges that have not ended.
+    std::size_t open_count() const;
+
+    /// Returns the state of the engines owned here.
+    std::vector<engine_status> engines() const;
+
+private:
+    struct owned_engine;
+    struct model_bound;
+    using engine_ptr = std::shared_ptr<owned_engine>;
+    using exchange_ptr = std::shared_ptr<served_exchange>;
+
+    void open(
+        const wire::link_identity& from, exchange_id id, open_message request);
+    void cancel(const request_id& key);
+    void answer_query(const wire::link_identity& from, exchange_id id);
+    void refuse_open(
+        const exchange_ptr& exchange, error reason, duration retry_after);
+    bool register_exchange(const exchange_ptr& exchange);
+    void forget(const request_id& key);
+    exchange_ptr find_exchange(const request_id& key) const;
+    engine_ptr find_engine(const engine_id& engine) const;
+    engine_ptr find_or_add_engine(
+        const membership::engine_record& record, time_point now);
+    std::shared_ptr<model_bound> bound_of(const model_id& model);
+    void refresh_bounds(time_point now);
+    void release(const engine_id& engine, time_point now);
+    void poll(const engine_ptr& engine, time_point now);
+    void carry_out(
+        const engine_ptr& engine,
+        const std::vector<admission::dispatch_action>& actions);
+    void start(const engine_ptr& engine, const exchange_ptr& exchange);
+    void finish(
+        const engine_ptr& engine,
+        const exchange_ptr& exchange,
+        const served_result& result);
+    void publish_load(const engine_ptr& engine);
+    std::vector<chat_hint> hints_for(const open_message& request) const;
+    admission::offer
+    make_offer(const served_exchange& exchange, time_point now) const;
+
+    boost::asio::io_context& m_context;
+    std::shared_ptr<wire::link_hub> m_hub;
+    std::shared_ptr<http::client> m_client;
+    std::shared_ptr<fleet> m_fleet;
+    std::shared_ptr<shared_directory> m_directory;
+
+    mutable std::shared_mutex m_engines_mutex;
+    std::unordered_map<engine_id, engine_ptr> m_engines;
+    std::unordered_map<model_id, std::shared_ptr<model_bound>> m_bounds;
+    std::shared_ptr<const admission::share_table> m_shares;
+    config::view_ptr m_config;
+
+    mutable std::mutex m_exchanges_mutex;
+    std::unordered_map<request_id, exchange_ptr> m_exchanges;
+    claims::dispatch_ledger m_ledger;
+};
+
+} // namespace limpet::pipeline
--- /dev/null
+++ b/libs/pipeline/src/request_metrics.hpp
@@ -0,0 +1,48 @@
+/// \file
+/// Counts and durations of requests by team.
+
+#pragma once
+
+#include "request_context.hpp"
+
+#include <limpet/base/histogram.hpp>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace limpet::pipeline {
+
+/// Histograms of the requests of each team. The number of teams shown is
+/// bounded; further ones count together under the name "other". Thread-safe.
+class request_metrics
+{
+public:
+    explicit request_metrics(std::size_t max_teams);
+
+    /// Adds a request that has ended.
+    void record(const request_context& context, time_point now);
+
+    /// Returns the metrics in Prometheus' text format.
+    std::string to_text() const;
+
+private:
+    static constexpr std::size_t outcome_count = 3;
+
+    struct team_metrics
+    {
+        histogram first_token;
+        histogram whole;
+        std::array<std::uint64_t, outcome_count> outcomes{};
+    };
+
+    team_metrics& metrics_of(const team_id& team);
+
+    std::size_t m_max_teams;
+    mutable std::mutex m_mutex;
+    std::map<std::string, team_metrics> m_teams;
+};
+
+} // namespace limpet::pipeline
--- /dev/null
+++ b/libs/pipeline/src/served_exchange.cpp
@@ -0,0 +1,341 @@
+#include "served_exchange.hpp"
+
+#include "headers.hpp"
+
+#include <limpet/base/log.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace limpet::pipeline {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr std::size_t max_event_bytes = 1024 * 1024;
+constexpr std::string_view event_stream_type = "text/event-stream";
+
+/// Fields that belong to one connection and are not passed on.
+constexpr std::array<std::string_view, 5> hop_fields = {
+    headers::connection,
+    headers::transfer_encoding,
+    headers::content_length,
+    headers::host,
+    headers::authorization};
+
+constexpr unsigned status_too_many_requests = 429;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_gateway_timeout = 504;
+
+/// Returns whether the status says that another engine may do better.
+bool is_engine_trouble(unsigned status)
+{
+    return status == status_too_many_requests ||
+        (status >= status_bad_gateway && status <= status_gateway_timeout);
+}
+
+bool is_event_stream(const http::response_head& head)
+{
+    return head.headers.value_or_empty(headers::content_type)
+        .starts_with(event_stream_type);
+}
+
+finish_message broken(error reason)
+{
+    finish_message message;
+    message.result = finish_result::broken;
+    message.reason = std::move(reason);
+    return message;
+}
+
+finish_message complete()
+{
+    finish_message message;
+    message.result = finish_result::complete;
+    return message;
+}
+
+} // namespace
+
+request_id make_exchange_key(const wire::link_identity& entry, exchange_id id)
+{
+    return request_id(
+        entry.vm.get() + "/" + std::to_string(entry.start.get()) + "/" +
+        std::to_string(id.get()));
+}
+
+served_exchange::served_exchange(
+    net::io_context& context,
+    std::shared_ptr<wire::link_hub> hub,
+    std::shared_ptr<http::client> client,
+    wire::link_identity entry,
+    exchange_id id,
+    open_message open)
+    : m_strand(net::make_strand(context))
+    , m_hub(std::move(hub))
+    , m_client(std::move(client))
+    , m_entry(std::move(entry))
+    , m_id(id)
+    , m_open(std::move(open))
+    , m_key(make_exchange_key(m_entry, m_id))
+    , m_credit_signal(m_strand)
+    , m_credit(initial_credit_bytes)
+{
+}
+
+net::awaitable<served_result> served_exchange::run(
+    dispatch_target target, std::function<void()> on_first_token)
+{
+    m_on_first_token = std::move(on_first_token);
+    if (m_cancelled)
+    {
+        finish_not_run({error_code::cancelled, "caller gave up"}, {}, {});
+        co_return served_result{0, false};
+    }
+    auto sent = co_await m_client->send(
+        target.address, make_request(target), m_open.deadline);
+    if (const auto* failure = std::get_if<http::request_failure>(&sent))
+    {
+        if (!failure->may_have_reached_server)
+        {
+            finish_not_run(failure->reason, {}, {});
+            co_return served_result{0, true};
+        }
+        send_finish(broken(failure->reason));
+        co_return served_result{0, true};
+    }
+    m_answer = std::move(
+        std::get<std::unique_ptr<http::response_stream>>(sent));
+    const status checked = check_head(target, m_answer->head());
+    if (!is_ok(checked))
+    {
+        send_finish(broken(error_of(checked)));
+        m_answer.reset();
+        co_return served_result{0, true};
+    }
+    finish_message last = co_await relay_answer();
+    const bool failed =
+        last.result != finish_result::complete && !m_cancelled;
+    send_finish(std::move(last));
+    m_answer.reset();
+    co_return served_result{m_events, failed};
+}
+
+void served_exchange::post_credit(std::uint32_t bytes)
+{
+    net::post(
+        m_strand,
+        [self = shared_from_this(), bytes]
+        {
+            self->m_credit += bytes;
+            self->m_credit_signal.cancel();
+        });
+}
+
+void served_exchange::post_cancel()
+{
+    net::post(
+        m_strand,
+        [self = shared_from_this()]
+        {
+            self->m_cancelled = true;
+            self->m_credit_signal.cancel();
+            if (self->m_answer)
+            {
+                self->m_answer->cancel();
+            }
+        });
+}
+
+void served_exchange::finish_not_run(
+    error reason, duration retry_after, std::vector<chat_hint> holders)
+{
+    finish_message message;
+    message.result = finish_result::not_run;
+    message.reason = std::move(reason);
+    message.retry_after = retry_after;
+    message.holders = std::move(holders);
+    send_finish(std::move(message));
+}
+
+http::request
+served_exchange::make_request(const dispatch_target& target) const
+{
+    http::request request = m_open.call;
+    for (const std::string_view name : hop_fields)
+    {
+        request.headers.erase(name);
+    }
+    request.headers.set(headers::request, m_open.request.get());
+    // Teams choose their chats' names, so the team is part of the name.
+    request.headers.set(
+        headers::chat, m_open.team.get() + "/" + m_open.chat.get());
+    request.headers.set(headers::priority, std::to_string(m_open.priority));
+    request.headers.set(
+        headers::fencing, std::to_string(target.fencing.get()));
+    if (m_open.resume_after > 0)
+    {
+        request.headers.set(
+            headers::last_event_id, std::to_string(m_open.resume_after));
+    }
+    return request;
+}
+
+status served_exchange::check_head(
+    const dispatch_target& target, const http::response_head& head) const
+{
+    const std::string* echoed = head.headers.find(headers::request);
+    const bool wrong = echoed != nullptr && *echoed != m_open.request.get();
+    const bool missing = echoed == nullptr && target.must_echo_request;
+    if (wrong || missing)
+    {
+        log_event(
+            log_level::warn,
+            "answer.dropped",
+            {{"engine", m_open.engine.get()},
+             {"request", m_open.request.get()},
+             {"answered", echoed == nullptr ? "" : *echoed}});
+        return error{
+            error_code::malformed, "engine answered another request"};
+    }
+    if (m_open.repeatable && is_engine_trouble(head.status))
+    {
+        return error{
+            error_code::unavailable,
+            "engine answered with status " + std::to_string(head.status)};
+    }
+    return success();
+}
+
+net::awaitable<finish_message> served_exchange::relay_answer()
+{
+    head_message head;
+    head.sequence = m_sequence++;
+    head.head = m_answer->head();
+    for (const std::string_view name : hop_fields)
+    {
+        head.head.headers.erase(name);
+    }
+    send(std::move(head));
+    if (is_event_stream(m_answer->head()))
+    {
+        co_return co_await relay_events();
+    }
+    co_return co_await relay_bytes();
+}
+
+net::awaitable<finish_message> served_exchange::relay_events()
+{
+    event_splitter splitter(m_open.resume_after, max_event_bytes);
+    for (;;)
+    {
+        auto read = co_await m_answer->read_some();
+        if (!is_ok(read))
+        {
+            co_return broken(error_of(read));
+        }
+        std::optional<std::string>& bytes = value_of(read);
+        if (!bytes)
+        {
+            break;
+        }
+        auto fed = splitter.feed(*bytes);
+        if (!is_ok(fed))
+        {
+            co_return broken(error_of(fed));
+        }
+        event_batch& batch = value_of(fed);
+        if (batch.bytes.empty())
+        {
+            continue;
+        }
+        m_events += batch.events;
+        part_message part;
+        part.last_event = batch.last_event;
+        part.bytes = std::move(batch.bytes);
+        const status sent = co_await send_part(std::move(part));
+        if (!is_ok(sent))
+        {
+            co_return broken(error_of(sent));
+        }
+    }
+    if (!splitter.done())
+    {
+        co_return broken({error_code::io_error, "stream was cut off"});
+    }
+    co_return complete();
+}
+
+net::awaitable<finish_message> served_exchange::relay_bytes()
+{
+    for (;;)
+    {
+        auto read = co_await m_answer->read_some();
+        if (!is_ok(read))
+        {
+            co_return broken(error_of(read));
+        }
+        std::optional<std::string>& bytes = value_of(read);
+        if (!bytes)
+        {
+            co_return complete();
+        }
+        part_message part;
+        part.bytes = std::move(*bytes);
+        const status sent = co_await send_part(std::move(part));
+        if (!is_ok(sent))
+        {
+            co_return broken(error_of(sent));
+        }
+    }
+}
+
+net::awaitable<status> served_exchange::send_part(part_message part)
+{
+    note_first_token();
+    while (m_credit <= 0 && !m_cancelled)
+    {
+        m_credit_signal.expires_at(net::steady_timer::time_point::max());
+        boost::system::error_code ignored;
+        co_await m_credit_signal.async_wait(
+            net::redirect_error(net::use_awaitable, ignored));
+    }
+    if (m_cancelled)
+    {
+        co_return error{error_code::cancelled, "caller gave up"};
+    }
+    m_credit -= static_cast<std::int64_t>(part.bytes.size());
+    part.sequence = m_sequence++;
+    send(std::move(part));
+    co_return success();
+}
+
+void served_exchange::note_first_token()
+{
+    if (m_on_first_token)
+    {
+        m_on_first_token();
+        m_on_first_token = nullptr;
+    }
+}
+
+void served_exchange::send(exchange_content content)
+{
+    // A frame that cannot be sent leaves a gap that the entry router notices.
+    m_hub->send(
+        m_entry.vm,
+        wire::channel::exchange,
+        encode({m_id, std::move(content)}));
+}
+
+void served_exchange::send_finish(finish_message message)
+{
+    message.sequence = m_sequence++;
+    send(std::move(message));
+}
+
+} // namespace limpet::pipeline
--- /dev/null
+++ b/libs/pipeline/src/shared_directory.hpp
@@ -0,0 +1,59 @@
+/// \file
+/// Chat directory that several threads share.
+
+#pragma once
+
+#include <limpet/placement/chat_directory.hpp>
+
+#include <array>
+#include <memory>
+#include <mutex>
+
+namespace limpet::pipeline {
+
+/// Splits the chats over several directories, each under its own lock.
+/// Thread-safe.
+class shared_directory
+{
+public:
+    /// Keeps about `capacity` chats in all.
+    shared_directory(std::size_t capacity, duration keep);
+
+    /// See placement::chat_directory::record.
+    void record(
+        placement::chat_key chat,
+        const engine_id& engine,
+        incarnation run,
+        token_count tokens,
+        time_point now);
+
+    /// See placement::chat_directory::find.
+    placement::chat_holders
+    find(placement::chat_key chat, time_point now) const;
+
+    /// Forgets the chat if the engine is the last that served it.
+    void forget_holder(placement::chat_key chat, const engine_id& engine);
+
+    /// Returns the number of chats.
+    std::size_t size() const;
+
+private:
+    static constexpr std::size_t shard_count = 16;
+
+    struct shard
+    {
+        shard(std::size_t capacity, duration keep)
+            : chats(capacity, keep)
+        {
+        }
+
+        std::mutex mutex;
+        placement::chat_directory chats;
+    };
+
+    shard& shard_of(placement::chat_key chat) const;
+
+    std::array<std::unique_ptr<shard>, shard_count> m_shards;
+};
+
+} // namespace limpet::pipeline
--- /dev/null
+++ b/libs/wire/src/outgoing_link.cpp
@@ -0,0 +1,244 @@
+#include "outgoing_link.hpp"
+
+#include "socket_options.hpp"
+
+#include <limpet/base/log.hpp>
+#include <limpet/http/endpoint.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace limpet::wire
+{
+
+namespace net = boost::asio;
+
+outgoing_link::outgoing_link(net::io_context& context,
+                             vm_id peer,
+                             net::ip::tcp::endpoint address,
+                             const link_settings& settings,
+                             std::string hello_payload,
+                             traffic_counters& counters,
+                             std::function<void(const vm_id&)> on_lost)
+    : m_strand(net::make_strand(context)),
+      m_peer(std::move(peer)),
+      m_address(std::move(address)),
+      m_settings(settings),
+      m_hello_payload(std::move(hello_payload)),
+      m_counters(counters),
+      m_on_lost(std::move(on_lost)),
+      m_socket(m_strand),
+      m_signal(m_strand)
+{
+}
+
+void outgoing_link::start()
+{
+    net::co_spawn(
+        m_strand,
+        [self = shared_from_this()]() -> net::awaitable<void>
+        {
+            co_await self->run();
+        },
+        net::detached);
+}
+
+status outgoing_link::send(channel kind, std::string_view payload)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_closed)
+    {
+        return error{error_code::unavailable, "link is closed"};
+    }
+    if (m_queue.size() + payload.size() > m_settings.max_queued_bytes)
+    {
+        return error{error_code::overloaded,
+                     "queue of the link to " + m_peer.get() + " is full"};
+    }
+    append_frame(m_queue, kind, payload);
+    m_counters.count_sent(kind, payload.size());
+    if (m_waiting)
+    {
+        m_waiting = false;
+        net::post(m_strand,
+                  [self = shared_from_this()]
+                  {
+                      self->m_signal.cancel();
+                  });
+    }
+    return success();
+}
+
+void outgoing_link::close()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_closed = true;
+    }
+    net::post(m_strand,
+              [self = shared_from_this()]
+              {
+                  boost::system::error_code ignored;
+                  self->m_signal.cancel();
+                  self->m_socket.close(ignored);
+              });
+}
+
+net::awaitable<void> outgoing_link::run()
+{
+    duration delay = m_settings.reconnect_delay;
+    while (co_await wait_for_frames())
+    {
+        const bool connected = co_await connect();
+        if (connected)
+        {
+            delay = m_settings.reconnect_delay;
+            co_await write_frames();
+        }
+        drop_queue();
+        co_await wait(delay);
+        delay = std::min(delay * 2, m_settings.max_reconnect_delay);
+    }
+}
+
+net::awaitable<bool> outgoing_link::wait_for_frames()
+{
+    for (;;)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_closed || !m_queue.empty())
+            {
+                co_return !m_closed;
+            }
+            m_waiting = true;
+        }
+        m_signal.expires_at(net::steady_timer::time_point::max());
+        boost::system::error_code woken;
+        co_await m_signal.async_wait(
+            net::redirect_error(net::use_awaitable, woken));
+    }
+}
+
+net::awaitable<bool> outgoing_link::connect()
+{
+    boost::system::error_code failure;
+    m_socket = socket(m_strand);
+    net::steady_timer limit(m_strand);
+    limit.expires_after(m_settings.connect_timeout);
+    limit.async_wait(
+        [self = shared_from_this()](boost::system::error_code cancelled)
+        {
+            boost::system::error_code ignored;
+            if (!cancelled && !self->m_connected)
+            {
+                self->m_socket.close(ignored);
+            }
+        });
+    co_await m_socket.async_connect(
+        m_address, net::redirect_error(net::use_awaitable, failure));
+    if (failure)
+    {
+        co_return false;
+    }
+    m_connected = true;
+    set_link_options(m_socket, m_settings.silence_timeout);
+    std::string hello;
+    append_frame(hello, channel::hello, m_hello_payload);
+    co_await net::async_write(m_socket,
+                              net::buffer(hello),
+                              net::redirect_error(net::use_awaitable, failure));
+    if (failure)
+    {
+        m_connected = false;
+        co_return false;
+    }
+    m_counters.count_sent(channel::hello, m_hello_payload.size());
+    net::co_spawn(
+        m_strand,
+        [self = shared_from_this()]() -> net::awaitable<void>
+        {
+            co_await self->watch_for_close();
+        },
+        net::detached);
+    co_return true;
+}
+
+net::awaitable<void> outgoing_link::write_frames()
+{
+    std::string batch;
+    boost::system::error_code failure;
+    while (m_connected && !failure)
+    {
+        batch.clear();
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_closed)
+            {
+                break;
+            }
+            std::swap(batch, m_queue);
+            m_waiting = batch.empty();
+        }
+        if (batch.empty())
+        {
+            m_signal.expires_at(net::steady_timer::time_point::max());
+            boost::system::error_code woken;
+            co_await m_signal.async_wait(
+                net::redirect_error(net::use_awaitable, woken));
+            continue;
+        }
+        co_await net::async_write(
+            m_socket,
+            net::buffer(batch),
+            net::redirect_error(net::use_awaitable, failure));
+    }
+    m_connected = false;
+    m_socket.close(failure);
+}
+
+net::awaitable<void> outgoing_link::watch_for_close()
+{
+    // The peer never writes on this connection, so a read ends only with it.
+    std::array<char, 1> unused{};
+    boost::system::error_code failure;
+    co_await m_socket.async_read_some(
+        net::buffer(unused), net::redirect_error(net::use_awaitable, failure));
+    m_connected = false;
+    m_signal.cancel();
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
+net::awaitable<void> outgoing_link::wait(duration length)
+{
+    m_signal.expires_after(length);
+    boost::system::error_code ignored;
+    co_await m_signal.async_wait(
+        net::redirect_error(net::use_awaitable, ignored));
+}
+
+void outgoing_link::drop_queue()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_waiting = false;
+        m_queue.clear();
+        if (m_closed)
+        {
+            return;
+        }
+    }
+    log_event(log_level::warn,
+              "link.lost",
+              {{"peer", m_peer.get()}, {"address", http::to_string(m_address)}});
+    m_on_lost(m_peer);
+}
+
+} // namespace limpet::wire
--- /dev/null
+++ b/libs/wire/src/outgoing_link.hpp
@@ -0,0 +1,76 @@
+/// \file
+/// Connection over which frames are sent to one peer.
+
+#pragma once
+
+#include <limpet/wire/link_hub.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace limpet::wire
+{
+
+/// Connects to a peer when there is something to send and writes the frames
+/// in order. When a connection breaks or cannot be made, the frames queued
+/// for it are lost and reported as such. Thread-safe.
+class outgoing_link : public std::enable_shared_from_this<outgoing_link>
+{
+public:
+    outgoing_link(boost::asio::io_context& context,
+                  vm_id peer,
+                  boost::asio::ip::tcp::endpoint address,
+                  const link_settings& settings,
+                  std::string hello_payload,
+                  traffic_counters& counters,
+                  std::function<void(const vm_id&)> on_lost);
+
+    /// Starts to wait for frames.
+    void start();
+
+    /// Queues a frame. Errors: overloaded.
+    status send(channel kind, std::string_view payload);
+
+    /// Ends the connection for good.
+    void close();
+
+    const boost::asio::ip::tcp::endpoint& address() const noexcept
+    {
+        return m_address;
+    }
+
+private:
+    using strand = boost::asio::strand<boost::asio::io_context::executor_type>;
+    using socket = boost::asio::ip::tcp::socket;
+
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<bool> wait_for_frames();
+    boost::asio::awaitable<bool> connect();
+    boost::asio::awaitable<void> write_frames();
+    boost::asio::awaitable<void> watch_for_close();
+    boost::asio::awaitable<void> wait(duration length);
+    void drop_queue();
+
+    strand m_strand;
+    vm_id m_peer;
+    boost::asio::ip::tcp::endpoint m_address;
+    link_settings m_settings;
+    std::string m_hello_payload;
+    traffic_counters& m_counters;
+    std::function<void(const vm_id&)> m_on_lost;
+    socket m_socket;
+    boost::asio::steady_timer m_signal;
+    bool m_connected = false;
+
+    std::mutex m_mutex;
+    std::string m_queue;
+    bool m_waiting = false;
+    bool m_closed = false;
+};
+
+} // namespace limpet::wire
--- /dev/null
+++ b/libs/wire/test/link_hub_test.cpp
@@ -0,0 +1,159 @@
+#include <limpet/http/endpoint.hpp>
+#include <limpet/wire/link_hub.hpp>
+
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+using namespace limpet;
+using namespace limpet::wire;
+namespace net = boost::asio;
+
+namespace
+{
+
+const net::ip::tcp::endpoint any_port(net::ip::make_address("127.0.0.1"), 0);
+
+struct received_frame
+{
+    std::string vm;
+    channel kind;
+    std::string payload;
+};
+
+/// Two hubs on one thread; run_until waits for events, not for time.
+struct link_hub_fixture
+{
+    net::io_context context;
+    std::vector<received_frame> frames;
+    std::vector<std::string> lost;
+    link_settings settings;
+    std::shared_ptr<link_hub> first = open("vm1");
+    std::shared_ptr<link_hub> second = open("vm2");
+
+    ~link_hub_fixture()
+    {
+        first->close();
+        second->close();
+        context.run();
+    }
+
+    std::shared_ptr<link_hub> open(const std::string& name)
+    {
+        link_handlers handlers;
+        handlers.on_frame =
+            [this](const link_identity& from, channel kind, std::string payload)
+        {
+            frames.push_back({from.vm.get(), kind, std::move(payload)});
+        };
+        handlers.on_lost = [this](const vm_id& peer)
+        {
+            lost.push_back(peer.get());
+        };
+        auto hub = link_hub::listen(
+            context,
+            any_port,
+            {vm_id(name), data_centre_id("north"), incarnation(1), ""},
+            settings,
+            handlers);
+        BOOST_REQUIRE(is_ok(hub));
+        return value_of(hub);
+    }
+
+    void connect()
+    {
+        first->set_peer(second->self().vm,
+                        value_of(http::parse_endpoint(second->self().address)));
+    }
+
+    template <class Condition>
+    void run_until(Condition condition)
+    {
+        while (!condition())
+        {
+            context.run_one();
+        }
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(link_hub_suite, link_hub_fixture)
+
+BOOST_AUTO_TEST_CASE(hub_frames_to_peer_arrive_in_order_with_sender)
+{
+    connect();
+    for (int i = 0; i < 100; ++i)
+    {
+        const auto sent =
+            first->send(vm_id("vm2"), channel::exchange, std::to_string(i));
+        BOOST_REQUIRE(is_ok(sent));
+    }
+    run_until(
+        [&]
+        {
+            return frames.size() == 100;
+        });
+    for (std::size_t i = 0; i < frames.size(); ++i)
+    {
+        BOOST_TEST(frames[i].payload == std::to_string(i));
+        BOOST_TEST(frames[i].vm == "vm1");
+    }
+    BOOST_TEST(second->counters().received_frames(channel::exchange) == 100U);
+}
+
+BOOST_AUTO_TEST_CASE(hub_frame_to_self_is_delivered)
+{
+    BOOST_TEST(is_ok(first->send(vm_id("vm1"), channel::control, "x")));
+    run_until(
+        [&]
+        {
+            return !frames.empty();
+        });
+    BOOST_TEST(frames[0].payload == "x");
+}
+
+BOOST_AUTO_TEST_CASE(hub_frame_to_unknown_peer_is_refused)
+{
+    const auto sent = first->send(vm_id("vm9"), channel::control, "x");
+    BOOST_REQUIRE(!is_ok(sent));
+    BOOST_TEST((error_of(sent).code == error_code::unavailable));
+}
+
+BOOST_AUTO_TEST_CASE(hub_peer_that_cannot_be_reached_is_reported_lost)
+{
+    connect();
+    second->close();
+    run_until(
+        [&]
+        {
+            first->send(vm_id("vm2"), channel::control, "x");
+            return !lost.empty();
+        });
+    BOOST_TEST(lost[0] == "vm2");
+}
+
+BOOST_AUTO_TEST_CASE(hub_connection_with_malformed_bytes_harms_no_other)
+{
+    net::ip::tcp::socket stranger(context);
+    stranger.connect(value_of(http::parse_endpoint(second->self().address)));
+    net::write(stranger, net::buffer(std::string(100, '\xff')));
+    bool closed = false;
+    char unused = 0;
+    stranger.async_read_some(net::buffer(&unused, 1),
+                             [&](boost::system::error_code failure, std::size_t)
+                             {
+                                 closed = static_cast<bool>(failure);
+                             });
+    connect();
+    first->send(vm_id("vm2"), channel::control, "good");
+    run_until(
+        [&]
+        {
+            return closed && !frames.empty();
+        });
+    BOOST_TEST(frames[0].payload == "good");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
