HTTP server and client

Cause: callers, backend servers and operators reach the system over HTTP, and the routers call engines over it; only the headers were there.

The server keeps one coroutine for each connection, on a strand of its own. A write is tried at once and waits only if the socket has no room, so that a slow caller slows the writer and a fast one costs no timer. The client keeps connections and says of each failure whether a byte may have reached the server. A body that ends early is an error, never a short answer.

No timings yet.

--- a/libs/http/include/limpet/http/client.hpp
+++ b/libs/http/include/limpet/http/client.hpp
@@ -23,11 +23,14 @@
 /// Bounds on what one server may cost.
 struct client_limits
 {
-    std::size_t header_bytes = 16 * 1024;
+    std::size_t header_bytes = 16UL * 1024;
     duration connect_timeout = seconds(2);
     /// Longest time without a byte of the answer after its head.
     duration read_timeout = seconds(30);
     std::size_t idle_connections_per_endpoint = 32;
+    /// Longest time that a connection is kept without a request. Shorter than
+    /// the servers' own, so that they seldom close it first.
+    duration idle_timeout = seconds(20);
 };
 
 /// Failure of a request.
@@ -53,12 +56,16 @@
     virtual boost::asio::awaitable<outcome<std::optional<std::string>>>
     read_some() = 0;
 
+    /// Replaces the client's read timeout for the reads that follow.
+    virtual void set_read_timeout(duration timeout) = 0;
+
     /// Ends a pending read with error_code::cancelled and closes the
     /// connection. Call on the executor of the reader.
     virtual void cancel() = 0;
 };
 
-/// Sends requests. Safe to use by several coroutines of several threads.
+/// Sends requests. Safe to use by several coroutines of several threads, all
+/// of one io_context.
 class client
 {
 public:
--- a/libs/http/include/limpet/http/message.hpp
+++ b/libs/http/include/limpet/http/message.hpp
@@ -31,6 +31,9 @@
     /// Replaces all fields of the name by one.
     void set(std::string_view name, std::string_view value);
 
+    /// Appends a field; earlier ones of the name stay.
+    void add(std::string_view name, std::string_view value);
+
     /// Removes all fields of the name.
     void erase(std::string_view name);
 
--- a/libs/http/include/limpet/http/server.hpp
+++ b/libs/http/include/limpet/http/server.hpp
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace limpet::http
 {
@@ -21,8 +22,8 @@
 /// Bounds on what one caller may cost.
 struct server_limits
 {
-    std::size_t header_bytes = 16 * 1024;
-    std::size_t body_bytes = 4 * 1024 * 1024;
+    std::size_t header_bytes = 16UL * 1024;
+    std::size_t body_bytes = 4UL * 1024 * 1024;
     std::size_t connections = 10000;
     /// Time for a request to arrive whole.
     duration receive_timeout = seconds(10);
@@ -57,7 +58,8 @@
     virtual boost::asio::awaitable<status> end_stream() = 0;
 
     /// Calls the function once if the caller closes the connection before the
-    /// answer's end. Null removes it.
+    /// answer's end, also if only the caller's sending side: the two cannot be
+    /// told apart. Null removes it.
     virtual void on_caller_gone(std::function<void()> call) = 0;
 };
 
@@ -69,12 +71,21 @@
     /// without an answer, the server answers with status 500.
     using handler = std::function<boost::asio::awaitable<void>(exchange&)>;
 
-    /// Listens at the endpoint; port 0 picks a free one.
+    /// Makes the answer to a request that is refused before the handler sees
+    /// it: malformed, too large, too slow or beyond the limit of connections.
+    /// Called from several threads.
+    using refusal =
+        std::function<response(unsigned status, std::string_view reason)>;
+
+    /// Listens at the endpoint; port 0 picks a free one. Without a refusal
+    /// function the reason is sent as plain text. Run the context until
+    /// connection_count() is 0 before what the handler uses is destroyed.
     static outcome<std::unique_ptr<server>>
     listen(boost::asio::io_context& context,
            const boost::asio::ip::tcp::endpoint& endpoint,
            const server_limits& limits,
-           handler handle);
+           handler handle,
+           refusal refuse = nullptr);
 
     virtual ~server() = default;
 
@@ -82,9 +93,10 @@
     virtual boost::asio::ip::tcp::endpoint local_endpoint() const = 0;
 
     /// Stops accepting; open connections end after the answer under way.
+    /// Thread-safe.
     virtual void stop_accepting() = 0;
 
-    /// Closes all connections at once.
+    /// Stops accepting and closes all connections at once. Thread-safe.
     virtual void close() = 0;
 
     /// Returns the number of open connections. Thread-safe.
--- /dev/null
+++ b/libs/http/src/connection.cpp
@@ -0,0 +1,514 @@
+#include "connection.hpp"
+
+#include "head_text.hpp"
+#include "text_body.hpp"
+
+#include <limpet/base/log.hpp>
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <exception>
+
+namespace limpet::http
+{
+
+namespace
+{
+
+constexpr std::size_t read_bytes = 4096;
+/// A caller that sends further requests early waits once they fill this much.
+constexpr std::size_t early_bytes = 16UL * 1024;
+/// Most bytes taken from a caller that still sends after a refusal.
+constexpr std::size_t linger_bytes = 1024UL * 1024;
+constexpr duration linger_timeout = seconds(2);
+
+using request_parser = boost::beast::http::request_parser<text_body>;
+
+boost::asio::const_buffer to_buffer(std::string_view bytes)
+{
+    return {bytes.data(), bytes.size()};
+}
+
+unsigned status_of(const boost::system::error_code& failure)
+{
+    using boost::beast::http::error;
+    if (failure == error::header_limit || failure == error::buffer_overflow)
+    {
+        return 431;
+    }
+    return failure == error::body_limit ? 413 : 400;
+}
+
+std::string_view reason_of(unsigned status)
+{
+    switch (status)
+    {
+    case 413:
+        return "the body is too large";
+    case 431:
+        return "the header fields are too large";
+    default:
+        return "the request is malformed";
+    }
+}
+
+bool expects_continue(const request_parser& parser)
+{
+    const auto field = parser.get().find(boost::beast::http::field::expect);
+    return field != parser.get().end() &&
+           boost::beast::iequals(field->value(), "100-continue");
+}
+
+request to_request(request_parser& parser)
+{
+    auto& message = parser.get();
+    request result;
+    const auto method = message.method_string();
+    const auto target = message.target();
+    result.method.assign(method.data(), method.size());
+    result.target.assign(target.data(), target.size());
+    result.headers = to_header_list(message);
+    result.body = std::move(message.body());
+    return result;
+}
+
+} // namespace
+
+connection::connection(boost::asio::ip::tcp::socket socket,
+                       std::shared_ptr<server_core> core)
+    : m_socket(std::move(socket)),
+      m_core(std::move(core)),
+      m_deadline(std::make_shared<deadline>(m_socket.get_executor(), m_socket)),
+      m_buffer(m_core->limits.header_bytes + early_bytes)
+{
+}
+
+connection::~connection()
+{
+    m_core->remove(this);
+}
+
+boost::asio::awaitable<void> connection::run()
+{
+    prepare(m_socket);
+    while (co_await wait_for_request())
+    {
+        const std::optional<receive_failure> failure = co_await receive();
+        if (failure)
+        {
+            co_await refuse(*failure);
+            break;
+        }
+        release_spare_memory();
+        co_await handle();
+        if (m_answer != answer_state::complete || !m_keep_alive)
+        {
+            break;
+        }
+    }
+    if (m_answer == answer_state::complete)
+    {
+        co_await close_after_answer();
+    }
+    close();
+}
+
+void connection::refuse_now()
+{
+    prepare(m_socket);
+    const response answer =
+        m_core->make_refusal(503, "there are too many connections");
+    m_keep_alive = false;
+    const std::string text = head_of(answer) + answer.body;
+    boost::system::error_code ignored;
+    m_socket.write_some(boost::asio::buffer(text), ignored);
+    close();
+}
+
+void connection::post_close()
+{
+    boost::asio::post(m_socket.get_executor(),
+                      [self = shared_from_this()]
+                      {
+                          self->close();
+                      });
+}
+
+void connection::post_close_if_idle()
+{
+    boost::asio::post(m_socket.get_executor(),
+                      [self = shared_from_this()]
+                      {
+                          if (self->m_idle)
+                          {
+                              self->close();
+                          }
+                      });
+}
+
+void connection::close()
+{
+    m_deadline->detach();
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
+boost::asio::awaitable<bool> connection::wait_for_request()
+{
+    m_idle = true;
+    m_answer = answer_state::none;
+    if (m_buffer.size() == 0)
+    {
+        if (m_core->stopping)
+        {
+            co_return false;
+        }
+        m_deadline->expires_after(m_core->limits.idle_timeout);
+        const auto failure = co_await read_more(m_socket, m_buffer, read_bytes);
+        if (failure)
+        {
+            co_return false;
+        }
+    }
+    m_idle = false;
+    co_return true;
+}
+
+boost::asio::awaitable<std::optional<connection::receive_failure>>
+connection::receive()
+{
+    m_deadline->expires_after(m_core->limits.receive_timeout);
+    request_parser parser;
+    parser.eager(true);
+    parser.header_limit(
+        static_cast<std::uint32_t>(m_core->limits.header_bytes));
+    parser.body_limit(m_core->limits.body_bytes);
+    bool continued = false;
+    while (!parser.is_done())
+    {
+        boost::system::error_code failure;
+        const std::size_t used = parser.put(m_buffer.data(), failure);
+        m_buffer.consume(used);
+        if (failure && failure != boost::beast::http::error::need_more)
+        {
+            const unsigned status = status_of(failure);
+            co_return receive_failure{status, reason_of(status)};
+        }
+        if (parser.is_done())
+        {
+            break;
+        }
+        if (!continued && parser.is_header_done() && expects_continue(parser))
+        {
+            continued = true;
+            co_await send_continue();
+        }
+        if (m_buffer.size() + read_bytes > m_buffer.max_size())
+        {
+            co_return receive_failure{431, reason_of(431)};
+        }
+        failure = co_await read_more(m_socket, m_buffer, read_bytes);
+        if (failure)
+        {
+            co_return read_failure();
+        }
+    }
+    m_deadline->expires_never();
+    m_keep_alive = parser.get().keep_alive();
+    m_chunked = parser.get().version() >= 11;
+    m_head_only = parser.get().method() == boost::beast::http::verb::head;
+    m_request = to_request(parser);
+    co_return std::nullopt;
+}
+
+connection::receive_failure connection::read_failure() const
+{
+    // A timeout has closed the socket, so that nothing can be answered.
+    return {0, "the connection ended within a request"};
+}
+
+boost::asio::awaitable<void> connection::send_continue()
+{
+    constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
+    write_parts parts;
+    parts[0] = to_buffer(text);
+    co_await write_all(
+        m_socket, *m_deadline, m_core->limits.write_timeout, parts);
+    m_deadline->expires_after(m_core->limits.receive_timeout);
+}
+
+boost::asio::awaitable<void> connection::handle()
+{
+    ++m_core->open_requests;
+    m_gone = false;
+    try
+    {
+        co_await m_core->handle(*this);
+    }
+    catch (const std::exception& failure)
+    {
+        log_event(log_level::error,
+                  "handler_failed",
+                  {{"target", m_request.target}, {"reason", failure.what()}});
+    }
+    m_on_gone = nullptr;
+    if (m_answer == answer_state::none && !m_gone)
+    {
+        response answer =
+            m_core->make_refusal(500, "the request could not be handled");
+        co_await respond(std::move(answer));
+    }
+    --m_core->open_requests;
+    m_request = {};
+}
+
+boost::asio::awaitable<void> connection::refuse(receive_failure failure)
+{
+    if (failure.status == 0)
+    {
+        co_return;
+    }
+    m_keep_alive = false;
+    m_head_only = false;
+    response answer = m_core->make_refusal(failure.status, failure.reason);
+    co_await respond(std::move(answer));
+}
+
+boost::asio::awaitable<void> connection::close_after_answer()
+{
+    // Closing while bytes of the caller are unread would reset the
+    // connection, which can destroy the answer on its way.
+    boost::system::error_code failure;
+    m_socket.shutdown(boost::asio::socket_base::shutdown_send, failure);
+    m_deadline->expires_after(linger_timeout);
+    std::size_t taken = 0;
+    while (!failure && taken < linger_bytes)
+    {
+        taken += m_buffer.size();
+        m_buffer.clear();
+        failure = co_await read_more(m_socket, m_buffer, read_bytes);
+    }
+}
+
+const request& connection::received() const
+{
+    return m_request;
+}
+
+boost::asio::awaitable<status> connection::respond(response answer)
+{
+    if (m_answer != answer_state::none)
+    {
+        co_return state_error("an answer was begun before");
+    }
+    const std::string head = head_of(answer);
+    write_parts parts;
+    parts[0] = to_buffer(head);
+    if (!m_head_only)
+    {
+        parts[1] = to_buffer(answer.body);
+    }
+    m_answer = answer_state::streaming;
+    status result = co_await send(parts);
+    if (is_ok(result))
+    {
+        m_answer = answer_state::complete;
+    }
+    co_return result;
+}
+
+boost::asio::awaitable<status> connection::begin_stream(response_head head)
+{
+    if (m_answer != answer_state::none)
+    {
+        co_return state_error("an answer was begun before");
+    }
+    // Without chunks the end of the connection marks the end of the body.
+    m_keep_alive = m_keep_alive && m_chunked;
+    std::string text = status_text(head);
+    append_connection_field(text);
+    if (m_chunked)
+    {
+        append_field(text, "Transfer-Encoding", "chunked");
+    }
+    text += "\r\n";
+    write_parts parts;
+    parts[0] = to_buffer(text);
+    m_answer = answer_state::streaming;
+    status result = co_await send(parts);
+    co_return result;
+}
+
+boost::asio::awaitable<status> connection::write(std::string_view bytes)
+{
+    if (m_answer != answer_state::streaming)
+    {
+        co_return state_error("no stream is open");
+    }
+    if (bytes.empty() || m_head_only)
+    {
+        co_return success();
+    }
+    const std::string line = m_chunked ? chunk_line(bytes.size()) : "";
+    write_parts parts;
+    parts[0] = to_buffer(line);
+    parts[1] = to_buffer(bytes);
+    if (m_chunked)
+    {
+        parts[2] = to_buffer("\r\n");
+    }
+    status result = co_await send(parts);
+    co_return result;
+}
+
+boost::asio::awaitable<status> connection::end_stream()
+{
+    if (m_answer != answer_state::streaming)
+    {
+        co_return state_error("no stream is open");
+    }
+    write_parts parts;
+    if (m_chunked && !m_head_only)
+    {
+        parts[0] = to_buffer("0\r\n\r\n");
+    }
+    status result = co_await send(parts);
+    if (is_ok(result))
+    {
+        m_answer = answer_state::complete;
+    }
+    co_return result;
+}
+
+void connection::on_caller_gone(std::function<void()> call)
+{
+    m_on_gone = std::move(call);
+    if (m_on_gone && m_gone)
+    {
+        caller_gone();
+        return;
+    }
+    if (m_on_gone)
+    {
+        watch_caller();
+    }
+}
+
+boost::asio::awaitable<status> connection::send(write_parts parts)
+{
+    if (m_gone)
+    {
+        co_return error{error_code::cancelled, "the caller has gone"};
+    }
+    const write_result result = co_await write_all(
+        m_socket, *m_deadline, m_core->limits.write_timeout, parts);
+    if (!result.failure)
+    {
+        co_return success();
+    }
+    const error reason = transfer_error(result.failure, *m_deadline);
+    caller_gone();
+    co_return reason;
+}
+
+status connection::state_error(std::string_view reason) const
+{
+    return error{error_code::internal, std::string(reason)};
+}
+
+std::string connection::head_of(const response& answer) const
+{
+    std::string text = status_text(answer.head);
+    append_connection_field(text);
+    append_field(text, "Content-Length", std::to_string(answer.body.size()));
+    text += "\r\n";
+    return text;
+}
+
+void connection::append_connection_field(std::string& text) const
+{
+    if (!m_keep_alive || m_core->stopping)
+    {
+        append_field(text, "Connection", "close");
+    }
+    else if (!m_chunked)
+    {
+        append_field(text, "Connection", "keep-alive");
+    }
+}
+
+void connection::release_spare_memory()
+{
+    if (m_buffer.size() == 0)
+    {
+        m_buffer.shrink_to_fit();
+    }
+}
+
+void connection::watch_caller()
+{
+    if (m_watching)
+    {
+        return;
+    }
+    m_watching = true;
+    m_socket.async_wait(
+        boost::asio::socket_base::wait_read,
+        [self = shared_from_this()](const boost::system::error_code& failure)
+        {
+            self->m_watching = false;
+            if (!failure)
+            {
+                self->on_readable();
+            }
+        });
+}
+
+void connection::on_readable()
+{
+    if (!m_on_gone)
+    {
+        return;
+    }
+    switch (peek(m_socket))
+    {
+    case peek_result::closed:
+        caller_gone();
+        return;
+    case peek_result::nothing:
+        watch_caller();
+        return;
+    case peek_result::data:
+        take_early_bytes();
+        return;
+    }
+}
+
+void connection::take_early_bytes()
+{
+    const std::size_t room = m_buffer.max_size() - m_buffer.size();
+    if (room < read_bytes)
+    {
+        return;
+    }
+    boost::system::error_code failure;
+    const auto space = m_buffer.prepare(read_bytes);
+    m_buffer.commit(m_socket.read_some(space, failure));
+    watch_caller();
+}
+
+void connection::caller_gone()
+{
+    m_gone = true;
+    m_keep_alive = false;
+    close();
+    // The call may replace itself.
+    const std::function<void()> call = std::exchange(m_on_gone, nullptr);
+    if (call)
+    {
+        call();
+    }
+}
+
+} // namespace limpet::http
--- /dev/null
+++ b/libs/http/src/server_core.cpp
@@ -0,0 +1,91 @@
+#include "server_core.hpp"
+
+#include "connection.hpp"
+
+namespace limpet::http
+{
+
+namespace
+{
+
+response plain_refusal(unsigned status, std::string_view reason)
+{
+    response answer;
+    answer.head.status = status;
+    answer.head.headers.set("Content-Type", "text/plain");
+    answer.body = std::string(reason) + "\n";
+    return answer;
+}
+
+} // namespace
+
+server_core::server_core(const server_limits& bounds,
+                         server::handler handler,
+                         server::refusal refuse)
+    : limits(bounds),
+      handle(std::move(handler)),
+      m_refuse(std::move(refuse))
+{
+}
+
+response server_core::make_refusal(unsigned status,
+                                   std::string_view reason) const
+{
+    return m_refuse ? m_refuse(status, reason) : plain_refusal(status, reason);
+}
+
+bool server_core::add(const std::shared_ptr<connection>& item)
+{
+    const std::lock_guard lock(m_mutex);
+    if (stopping || m_open.size() >= limits.connections)
+    {
+        return false;
+    }
+    m_open.emplace(item.get(), item);
+    connections = m_open.size();
+    return true;
+}
+
+void server_core::remove(const connection* item)
+{
+    const std::lock_guard lock(m_mutex);
+    m_open.erase(item);
+    connections = m_open.size();
+}
+
+void server_core::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        stopping = true;
+    }
+    for (const auto& item : all())
+    {
+        item->post_close_if_idle();
+    }
+}
+
+void server_core::close_all()
+{
+    for (const auto& item : all())
+    {
+        item->post_close();
+    }
+}
+
+std::vector<std::shared_ptr<connection>> server_core::all() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::shared_ptr<connection>> items;
+    items.reserve(m_open.size());
+    for (const auto& [key, weak] : m_open)
+    {
+        if (auto item = weak.lock())
+        {
+            items.push_back(std::move(item));
+        }
+    }
+    return items;
+}
+
+} // namespace limpet::http
--- /dev/null
+++ b/libs/http/src/server_core.hpp
@@ -0,0 +1,56 @@
+/// \file
+/// What the connections of one server share.
+
+#pragma once
+
+#include <limpet/http/server.hpp>
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace limpet::http
+{
+
+class connection;
+
+/// Limits, handler and counters of a server. Thread-safe; lives as long as
+/// the last connection.
+class server_core
+{
+public:
+    server_core(const server_limits& limits,
+                server::handler handle,
+                server::refusal refuse);
+
+    /// Makes the answer to a request that the handler does not see.
+    response make_refusal(unsigned status, std::string_view reason) const;
+
+    /// Adds a connection unless the limit is reached or the server stops.
+    bool add(const std::shared_ptr<connection>& item);
+    void remove(const connection* item);
+
+    /// Stops the server; connections without a request are closed.
+    void stop();
+
+    /// Closes all connections.
+    void close_all();
+
+    const server_limits limits;
+    const server::handler handle;
+    std::atomic<bool> stopping = false;
+    std::atomic<std::size_t> open_requests = 0;
+    std::atomic<std::size_t> connections = 0;
+
+private:
+    std::vector<std::shared_ptr<connection>> all() const;
+
+    const server::refusal m_refuse;
+    mutable std::mutex m_mutex;
+    std::unordered_map<const connection*, std::weak_ptr<connection>> m_open;
+};
+
+} // namespace limpet::http
--- /dev/null
+++ b/libs/http/test/client_test.cpp
@@ -0,0 +1,152 @@
+#include "loopback.hpp"
+
+#include <limpet/http/endpoint.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+
+using namespace limpet;
+using namespace limpet::http;
+
+namespace
+{
+
+/// Accepts connections in turn, takes a request from each and sends back given
+/// bytes, then closes.
+struct scripted_server
+{
+    explicit scripted_server(boost::asio::io_context& context)
+        : acceptor(context, {boost::asio::ip::address_v4::loopback(), 0})
+    {
+    }
+
+    void answer_next(std::string bytes)
+    {
+        acceptor.async_accept(
+            [bytes = std::move(bytes)](boost::system::error_code failure,
+                                       boost::asio::ip::tcp::socket socket)
+            {
+                if (failure)
+                {
+                    return;
+                }
+                std::string received;
+                boost::asio::read_until(socket,
+                                        boost::asio::dynamic_buffer(received),
+                                        "\r\n\r\n",
+                                        failure);
+                boost::asio::write(socket, boost::asio::buffer(bytes), failure);
+            });
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor;
+};
+
+struct answer_case
+{
+    std::string bytes;
+    /// Expected body, or the start of the error's text.
+    std::string result;
+    bool fails;
+};
+
+const std::string head = "HTTP/1.1 200 OK\r\n";
+
+const answer_case answers[] = {
+    {head + "Content-Length: 2\r\n\r\nok", "ok", false},
+    {head + "\r\nuntil the end", "until the end", false},
+    {head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+     "ok",
+     false},
+    {"HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok",
+     "ok",
+     false},
+    {"HTTP/1.1 204 No Content\r\n\r\n", "", false},
+    {head + "Content-Length: 3\r\n\r\nok", "the answer was cut off", true},
+    {head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+     "the answer was cut off",
+     true},
+    {head + "Transfer-Encoding: chunked\r\n\r\nq\r\n", "malformed", true},
+    {"HTTP/1.1 200", "the answer was cut off", true},
+    {"", "the answer was cut off", true},
+    {"nonsense\r\n\r\n", "malformed", true},
+    {head + "X: " + std::string(20000, 'x') + "\r\n\r\n", "malformed", true},
+    {head + "Transfer-Encoding: chunked\r\n\r\n1;" + std::string(40000, 'x'),
+     "",
+     true},
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(client_suite, loopback)
+
+BOOST_AUTO_TEST_CASE(client_answer_is_whole_or_an_error)
+{
+    scripted_server peer(context);
+    endpoint = peer.acceptor.local_endpoint();
+    for (const answer_case& item : answers)
+    {
+        BOOST_TEST_CONTEXT(item.bytes.substr(0, 80))
+        {
+            peer.answer_next(item.bytes);
+            const auto result = fetch(make_request("GET", "/"));
+            const auto* failure = std::get_if<request_failure>(&result);
+            BOOST_TEST((failure != nullptr) == item.fails);
+            const std::string text = failure != nullptr
+                                         ? failure->reason.message
+                                         : std::get<response>(result).body;
+            BOOST_TEST(text.substr(0, item.result.size()) == item.result);
+            BOOST_TEST(
+                (failure == nullptr || failure->may_have_reached_server));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(client_refused_connection_has_not_reached_server)
+{
+    scripted_server peer(context);
+    endpoint = peer.acceptor.local_endpoint();
+    peer.acceptor.close();
+    const auto result = fetch(make_request("GET", "/"));
+    BOOST_TEST(!std::get<request_failure>(result).may_have_reached_server);
+}
+
+BOOST_AUTO_TEST_CASE(client_connection_closed_while_kept_is_replaced)
+{
+    scripted_server peer(context);
+    endpoint = peer.acceptor.local_endpoint();
+    const std::string bytes = head + "Content-Length: 2\r\n\r\nok";
+    for (int i = 0; i < 3; ++i)
+    {
+        peer.answer_next(bytes);
+        const auto result = fetch(make_request("POST", "/", "x"));
+        BOOST_TEST(std::holds_alternative<response>(result));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(client_head_that_never_comes_times_out)
+{
+    scripted_server peer(context);
+    endpoint = peer.acceptor.local_endpoint();
+    const auto result = fetch(make_request("GET", "/"), milliseconds(20));
+    const auto& failure = std::get<request_failure>(result);
+    BOOST_TEST((failure.reason.code == error_code::timeout));
+    BOOST_TEST(failure.may_have_reached_server);
+}
+
+BOOST_AUTO_TEST_CASE(endpoint_text_is_read_back_or_refused)
+{
+    for (const char* text : {"127.0.0.1:80", "[::1]:8080"})
+    {
+        const auto parsed = parse_endpoint(text);
+        BOOST_REQUIRE(is_ok(parsed));
+        BOOST_TEST(http::to_string(value_of(parsed)) == text);
+    }
+    for (const char* text : {"", "x:1", "1.2.3.4", "1.2.3.4:", "1.2.3.4:65536"})
+    {
+        BOOST_TEST(!is_ok(parse_endpoint(text)));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/http/test/server_test.cpp
@@ -0,0 +1,221 @@
+#include "loopback.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+
+using namespace limpet;
+using namespace limpet::http;
+
+namespace
+{
+
+boost::asio::awaitable<void> echo(exchange& call)
+{
+    response answer;
+    answer.head.headers.set("Seen", call.received().target);
+    answer.body = call.received().method + " " + call.received().body;
+    co_await call.respond(std::move(answer));
+}
+
+boost::asio::awaitable<void> count_to_three(exchange& call)
+{
+    response_head head;
+    co_await call.begin_stream(std::move(head));
+    for (const char* part : {"one ", "two ", "three"})
+    {
+        co_await call.write(part);
+    }
+    co_await call.end_stream();
+}
+
+boost::asio::awaitable<void> cut_off(exchange& call)
+{
+    response_head head;
+    co_await call.begin_stream(std::move(head));
+    co_await call.write("half");
+}
+
+struct raw_case
+{
+    const char* name;
+    std::string bytes;
+    const char* answer_start;
+};
+
+std::string long_head()
+{
+    return "GET / HTTP/1.1\r\nX: " + std::string(20000, 'x') + "\r\n\r\n";
+}
+
+const raw_case bad_requests[] = {
+    {"garbage", "\x16\x03\x01\x02\r\n\r\n", "HTTP/1.1 400"},
+    {"no version", "GET /\r\n\r\n", "HTTP/1.1 400"},
+    {"wrong version", "GET / HTTP/9.9\r\n\r\n", "HTTP/1.1 400"},
+    {"space in name", "GET / HTTP/1.1\r\nA b: c\r\n\r\n", "HTTP/1.1 400"},
+    {"folded nul",
+     std::string("GET / HTTP/1.1\r\nA: ") + '\0' + "\r\n\r\n",
+     "HTTP/1.1 400"},
+    {"bad length",
+     "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+     "HTTP/1.1 400"},
+    {"two lengths",
+     "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+     "HTTP/1.1 400"},
+    {"length and chunks",
+     "POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+     "HTTP/1.1 400"},
+    {"bad chunk",
+     "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+     "HTTP/1.1 400"},
+    {"announced body too large",
+     "POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n",
+     "HTTP/1.1 413"},
+    {"chunked body too large",
+     "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nFFFFFFF\r\n",
+     "HTTP/1.1 413"},
+    {"head too large", long_head(), "HTTP/1.1 431"},
+    {"cut off", "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab", ""},
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(server_suite, loopback)
+
+BOOST_AUTO_TEST_CASE(server_request_is_answered_over_kept_connection)
+{
+    serve(echo);
+    for (int i = 0; i < 3; ++i)
+    {
+        const auto result = fetch(make_request("POST", "/a?b=c", "hello"));
+        const auto& answer = std::get<response>(result);
+        BOOST_TEST(answer.body == "POST hello");
+        BOOST_TEST(answer.head.headers.value_or_empty("seen") == "/a?b=c");
+    }
+    BOOST_TEST(listening->connection_count() == 1U);
+    BOOST_TEST(listening->open_request_count() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(server_stream_arrives_whole)
+{
+    serve(count_to_three);
+    const auto result = fetch(make_request("GET", "/"));
+    BOOST_TEST(std::get<response>(result).body == "one two three");
+}
+
+BOOST_AUTO_TEST_CASE(server_stream_without_end_is_seen_as_cut_off)
+{
+    serve(cut_off);
+    const auto result = fetch(make_request("GET", "/"));
+    const auto& failure = std::get<request_failure>(result);
+    BOOST_TEST(failure.reason.message == "the answer was cut off");
+    BOOST_TEST(failure.may_have_reached_server);
+}
+
+BOOST_AUTO_TEST_CASE(server_handler_without_answer_gives_500)
+{
+    serve(
+        [](exchange&) -> boost::asio::awaitable<void>
+        {
+            co_return;
+        });
+    const auto result = fetch(make_request("GET", "/"));
+    BOOST_TEST(std::get<response>(result).head.status == 500U);
+}
+
+BOOST_AUTO_TEST_CASE(server_bad_request_is_refused_and_others_are_served)
+{
+    serve(echo);
+    for (const raw_case& item : bad_requests)
+    {
+        BOOST_TEST_CONTEXT(item.name)
+        {
+            const std::string answer = exchange_raw(item.bytes, true);
+            BOOST_TEST(answer.substr(0, 12) == item.answer_start);
+        }
+    }
+    BOOST_TEST(
+        std::holds_alternative<response>(fetch(make_request("GET", "/"))));
+}
+
+BOOST_AUTO_TEST_CASE(server_pipelined_requests_are_answered_in_order)
+{
+    serve(echo);
+    const std::string answer =
+        exchange_raw("POST /1 HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"
+                     "GET /2 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    const std::size_t first = answer.find("Seen: /1");
+    const std::size_t second = answer.find("Seen: /2");
+    BOOST_TEST(first != std::string::npos);
+    BOOST_TEST(second != std::string::npos);
+    BOOST_TEST(first < second);
+}
+
+BOOST_AUTO_TEST_CASE(server_old_version_gets_body_without_chunks)
+{
+    serve(count_to_three);
+    const std::string answer = exchange_raw("GET / HTTP/1.0\r\n\r\n");
+    BOOST_TEST(answer.ends_with("\r\n\r\none two three"));
+}
+
+BOOST_AUTO_TEST_CASE(server_caller_gone_is_reported_once)
+{
+    const auto started = std::make_shared<std::promise<void>>();
+    const auto ended = std::make_shared<std::promise<int>>();
+    serve(
+        [=](exchange& call) -> boost::asio::awaitable<void>
+        {
+            auto executor = co_await boost::asio::this_coro::executor;
+            boost::asio::steady_timer never(executor);
+            never.expires_at(boost::asio::steady_timer::time_point::max());
+            int calls = 0;
+            call.on_caller_gone(
+                [&]
+                {
+                    ++calls;
+                    never.cancel();
+                });
+            started->set_value();
+            co_await never.async_wait(
+                boost::asio::as_tuple(boost::asio::use_awaitable));
+            response answer;
+            const status late = co_await call.respond(std::move(answer));
+            ended->set_value(is_ok(late) ? 0 : calls);
+        });
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect(endpoint);
+    boost::asio::write(
+        socket, boost::asio::buffer("GET / HTTP/1.1\r\n\r\nGET /early", 28));
+    started->get_future().get();
+    socket.close();
+    BOOST_TEST(ended->get_future().get() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(server_stopped_answers_request_under_way_then_closes)
+{
+    serve(
+        [&](exchange& call) -> boost::asio::awaitable<void>
+        {
+            listening->stop_accepting();
+            response answer;
+            answer.body = "whole";
+            co_await call.respond(std::move(answer));
+        });
+    const std::string answer = exchange_raw("GET / HTTP/1.1\r\n\r\n");
+    BOOST_TEST(answer.ends_with("whole"));
+    BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(server_beyond_connection_limit_refuses)
+{
+    server_limits limits;
+    limits.connections = 1;
+    serve(echo, limits);
+    BOOST_TEST(
+        std::holds_alternative<response>(fetch(make_request("GET", "/"))));
+    const std::string answer = exchange_raw("");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
