Placement and admission: first working form

Rendezvous chooser, chat directory, routes, adaptive engine limit, load bound, fair queue, slot guarantees, caps, retry budget and the dispatcher that joins them for one engine. The naming check took the defaulted comparison of strong_type for a null pointer; it is silenced there.

--- /dev/null
+++ b/libs/admission/src/open_request_cap.cpp
@@ -0,0 +1,43 @@
+#include <limpet/admission/open_request_cap.hpp>
+
+namespace limpet::admission
+{
+
+open_request_cap::open_request_cap(std::uint32_t fallback)
+    : m_fallback(fallback)
+{
+}
+
+void open_request_cap::set(const team_id& team, std::uint32_t cap)
+{
+    m_caps[team] = cap;
+}
+
+bool open_request_cap::open(const team_id& team)
+{
+    const auto own = m_caps.find(team);
+    const std::uint32_t cap = own == m_caps.end() ? m_fallback : own->second;
+    if (count(team) >= cap)
+    {
+        return false;
+    }
+    ++m_open[team];
+    return true;
+}
+
+void open_request_cap::close(const team_id& team)
+{
+    const auto place = m_open.find(team);
+    if (place != m_open.end() && --place->second == 0)
+    {
+        m_open.erase(place);
+    }
+}
+
+std::uint32_t open_request_cap::count(const team_id& team) const
+{
+    const auto place = m_open.find(team);
+    return place == m_open.end() ? 0 : place->second;
+}
+
+} // namespace limpet::admission
--- /dev/null
+++ b/libs/admission/src/share_table.cpp
@@ -0,0 +1,28 @@
+#include <limpet/admission/share_table.hpp>
+
+namespace limpet::admission
+{
+
+double share_table::share_of(const partner_id& partner) const
+{
+    const auto place = partners.find(partner);
+    return place == partners.end() ? 1 : place->second;
+}
+
+double share_table::share_of(const team_id& team) const
+{
+    const auto place = teams.find(team);
+    return place == teams.end() ? 1 : place->second;
+}
+
+double share_table::part_of(const partner_id& partner) const
+{
+    double total = partners.contains(partner) ? 0 : 1;
+    for (const auto& [id, share] : partners)
+    {
+        total += share;
+    }
+    return total > 0 ? share_of(partner) / total : 0;
+}
+
+} // namespace limpet::admission
--- a/libs/base/include/limpet/base/strong_type.hpp
+++ b/libs/base/include/limpet/base/strong_type.hpp
@@ -31,6 +31,8 @@
         return m_value;
     }
 
+    // The check mistakes the rewritten comparisons with 0 for null pointers.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const strong_type&, const strong_type&) = default;
 
 private:
--- /dev/null
+++ b/libs/placement/include/limpet/placement/route.hpp
@@ -0,0 +1,58 @@
+/// \file
+/// The order in which a request tries engines.
+
+#pragma once
+
+#include <limpet/placement/chat_directory.hpp>
+#include <limpet/placement/chooser.hpp>
+
+#include <optional>
+
+namespace limpet::placement
+{
+
+/// How chats follow their caches.
+struct route_settings
+{
+    /// How long after an engine joins its chats still go to the engine that
+    /// was their first choice before.
+    duration settling = std::chrono::minutes(10);
+    /// Engines that a request tries before it queues at one of them.
+    std::size_t tries = 4;
+};
+
+/// What the entry router knows about a request when it places it.
+struct route_request
+{
+    chat_key chat;
+    /// False for the first turn of a chat, which no cache holds.
+    bool returning = true;
+    /// The engine that the caller's hint names.
+    std::optional<engine_id> hint;
+};
+
+/// The engines to try, in order.
+struct route
+{
+    /// Owner of the chat's directory entry: the first rendezvous choice.
+    engine_index home = 0;
+    engine_order order;
+};
+
+/// Returns the route of a request. The caller's hint comes first, then the
+/// engine that was the chat's first choice before recent joins, then the
+/// rendezvous order. The chooser must not be empty.
+route plan_route(const chooser& engines,
+                 const route_request& request,
+                 const route_settings& settings,
+                 time_point now);
+
+/// Moves the chat's holders that are still in service with the same
+/// incarnation to the front of the route, the longest prefix first, and
+/// leaves out engines that were tried already.
+engine_order prefer_holders(const chooser& engines,
+                            const engine_order& order,
+                            const chat_holders& holders,
+                            const engine_order& tried);
+
+} // namespace limpet::placement
