--- /dev/null
+++ b/libs/membership/include/limpet/membership/view.hpp
@@ -0,0 +1,77 @@
+/// \file
+/// Immutable snapshot of the routers, engines and owners of a region.
+
+#pragma once
+
+#include <limpet/membership/engine_record.hpp>
+#include <limpet/membership/router_record.hpp>
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace limpet::membership
+{
+
+/// An engine and the router that the snapshot has as its owner.
+struct engine_entry
+{
+    engine_ptr engine;
+    /// Index into view::routers(), or no_router.
+    std::uint32_t owner = no_router;
+
+    static constexpr std::uint32_t no_router = UINT32_MAX;
+};
+
+/// Snapshot of a region as one router sees it. Thread-safe, as it never
+/// changes; hold it by shared pointer while using what it returns.
+class view
+{
+public:
+    /// Builds a snapshot and computes all owners.
+    view(std::uint64_t version,
+         std::vector<router_record> routers,
+         std::vector<engine_ptr> engines);
+
+    /// Returns a number that rises with each change.
+    std::uint64_t version() const noexcept
+    {
+        return m_version;
+    }
+
+    /// Returns the member routers, ordered by VM.
+    const std::vector<router_record>& routers() const noexcept
+    {
+        return m_routers;
+    }
+
+    /// Returns all engines that are not gone, ordered by id.
+    const std::vector<engine_entry>& engines() const noexcept
+    {
+        return m_engines;
+    }
+
+    /// Returns the member router or null.
+    const router_record* find_router(const vm_id& vm) const;
+
+    /// Returns the engine that is not gone, or null.
+    const engine_entry* find_engine(const engine_id& engine) const;
+
+    /// Returns the indexes into engines() of the servers of the model.
+    const std::vector<std::uint32_t>& engines_of(const model_id& model) const;
+
+    /// Returns the owner of the engine, or null if the engine is unknown or
+    /// the region has no router.
+    const router_record* owner_of(const engine_id& engine) const;
+
+private:
+    void assign_owners();
+
+    std::uint64_t m_version;
+    std::vector<router_record> m_routers;
+    std::vector<engine_entry> m_engines;
+    std::unordered_map<engine_id, std::uint32_t> m_engine_index;
+    std::unordered_map<model_id, std::vector<std::uint32_t>> m_models;
+};
+
+} // namespace limpet::membership
