Membership of routers and engines, ownership and load sums

Cause: routers must find each other, agree on one dispatcher for each engine, and know the mean load, on little control traffic.

Probes with suspicion and refutation, changes spread by gossip and made up for by comparing lists, ownership leases granted by a majority of the data centre's routers, fencing numbers from a logical clock that a majority has seen, and load sums over a tree in each data centre.

--- /dev/null
+++ b/libs/membership/src/digest_tree.cpp
@@ -0,0 +1,433 @@
+#include "digest_tree.hpp"
+
+#include <algorithm>
+
+namespace limpet::membership
+{
+
+namespace
+{
+
+constexpr std::size_t fan_out = 2;
+constexpr auto report_wait = milliseconds(100);
+/// Sums older than this are not counted any more.
+constexpr auto max_report_age = seconds(2);
+constexpr auto max_data_centre_age = seconds(3);
+constexpr std::size_t max_contacts = 6;
+constexpr std::size_t sent_contacts = 3;
+constexpr std::size_t max_regions = 64;
+
+void add_sums(load_rows& total, const load_rows& part)
+{
+    for (const auto& [model, row] : part)
+    {
+        auto& sum = total[model];
+        sum.in_flight += row.in_flight;
+        sum.eligible += row.eligible;
+    }
+}
+
+std::uint16_t to_age_ms(duration age)
+{
+    const auto count = std::chrono::duration_cast<milliseconds>(age).count();
+    return static_cast<std::uint16_t>(
+        std::clamp<std::int64_t>(count, 0, UINT16_MAX));
+}
+
+/// The routers of each data centre in the order of the tree's places.
+using trees = std::map<data_centre_id, std::vector<key>>;
+
+trees arrange(const view& current)
+{
+    trees result;
+    for (const auto& router : current.routers())
+    {
+        result[router.self.data_centre].push_back(key_of(router.self.vm));
+    }
+    for (auto& [data_centre, names] : result)
+    {
+        const auto salt = stable_hash(data_centre.get());
+        std::ranges::sort(names,
+                          {},
+                          [salt](key name)
+                          {
+                              return combine_hashes(salt, name);
+                          });
+    }
+    return result;
+}
+
+} // namespace
+
+digest_tree::digest_tree(region_state& state,
+                         const ownership_tracker& owned,
+                         outbox& out,
+                         const std::vector<peer>& seeds,
+                         time_point now)
+    : m_state(state),
+      m_owned(owned),
+      m_out(out),
+      m_next_round(now),
+      m_next_exchange(now)
+{
+    for (const auto& seed : seeds)
+    {
+        if (seed.region != state.self().self.region)
+        {
+            m_others[seed.region].contacts.push_back(seed);
+        }
+    }
+}
+
+void digest_tree::find_place()
+{
+    if (m_place.version == m_state.version())
+    {
+        return;
+    }
+    m_place = {};
+    m_place.version = m_state.version();
+    const auto all = arrange(*m_state.snapshot());
+    const auto own = all.find(m_state.self().self.data_centre);
+    if (own == all.end())
+    {
+        return;
+    }
+    const auto& names = own->second;
+    const auto found = std::ranges::find(names, m_state.self_key());
+    if (found == names.end())
+    {
+        return;
+    }
+    const auto index = static_cast<std::size_t>(found - names.begin());
+    m_place.is_root = index == 0;
+    m_place.parent = index == 0 ? 0 : names[(index - 1) / fan_out];
+    for (auto child = fan_out * index + 1;
+         child <= fan_out * (index + 1) && child < names.size();
+         ++child)
+    {
+        m_place.children.push_back(names[child]);
+    }
+    m_place.gateway = all.begin()->second.front();
+    for (const auto& [data_centre, others] : all)
+    {
+        if (m_place.is_root && data_centre != own->first)
+        {
+            m_place.other_roots.push_back(others.front());
+        }
+    }
+}
+
+void digest_tree::send(key to, const body& content)
+{
+    if (const auto* receiver = m_state.find_router(to))
+    {
+        m_out.send(receiver->record.self, traffic::digests, content);
+    }
+}
+
+void digest_tree::tick(time_point now)
+{
+    find_place();
+    if (m_deadline && now >= *m_deadline)
+    {
+        complete(now);
+    }
+    if (m_place.is_root && now >= m_next_round)
+    {
+        m_next_round = now + m_state.values().digest_period;
+        begin_round(now);
+    }
+    if (now >= m_next_exchange)
+    {
+        m_next_exchange = now + m_state.values().region_period;
+        exchange_regions(now);
+    }
+}
+
+void digest_tree::begin_round(time_point now)
+{
+    ++m_round;
+    sum_region(now);
+    pass_down(now);
+}
+
+void digest_tree::pass_down(time_point now)
+{
+    m_awaited = {m_place.children.begin(), m_place.children.end()};
+    m_deadline = now + report_wait;
+    auto sums = m_region ? m_region->sums : load_sums{};
+    if (m_region)
+    {
+        sums.age_ms = to_age_ms(m_region->age(now));
+    }
+    for (const auto child : m_place.children)
+    {
+        send(child, collect{m_round, sums});
+    }
+    if (m_awaited.empty())
+    {
+        complete(now);
+    }
+}
+
+void digest_tree::on_collect(key from, const collect& round, time_point now)
+{
+    find_place();
+    if (m_place.is_root)
+    {
+        // The sender's list differs; this router's own rounds go on.
+        return;
+    }
+    m_region = timed_sums{round.sums, now};
+    if (from != m_place.parent)
+    {
+        return;
+    }
+    m_round = round.round;
+    pass_down(now);
+}
+
+void digest_tree::on_report(key from, const report& answer, time_point now)
+{
+    if (answer.round != m_round)
+    {
+        return;
+    }
+    m_reports[from] = {answer.sums, now};
+    m_awaited.erase(from);
+    if (m_awaited.empty() && m_deadline)
+    {
+        complete(now);
+    }
+}
+
+load_sums digest_tree::subtree(time_point now) const
+{
+    load_sums total;
+    total.rows = m_owned.own_rows();
+    for (const auto child : m_place.children)
+    {
+        const auto found = m_reports.find(child);
+        if (found == m_reports.end() || found->second.age(now) > max_report_age)
+        {
+            continue;
+        }
+        add_sums(total.rows, found->second.sums.rows);
+        total.age_ms =
+            std::max(total.age_ms, to_age_ms(found->second.age(now)));
+    }
+    return total;
+}
+
+void digest_tree::complete(time_point now)
+{
+    m_deadline.reset();
+    std::erase_if(m_reports,
+                  [now](const auto& item)
+                  {
+                      return item.second.age(now) > max_report_age;
+                  });
+    auto sums = subtree(now);
+    if (!m_place.is_root)
+    {
+        send(m_place.parent, report{m_round, std::move(sums)});
+        return;
+    }
+    for (const auto root : m_place.other_roots)
+    {
+        send(root, data_centre_sums{sums});
+    }
+    const auto home = stable_hash(m_state.self().self.data_centre.get());
+    m_data_centres[home] = {std::move(sums), now};
+    sum_region(now);
+}
+
+void digest_tree::on_sums(key from,
+                          const data_centre_sums& input,
+                          time_point now)
+{
+    const auto* sender = m_state.find_router(from);
+    if (sender == nullptr)
+    {
+        return;
+    }
+    const auto home = stable_hash(sender->record.self.data_centre.get());
+    m_data_centres[home] = {input.sums, now};
+}
+
+void digest_tree::sum_region(time_point now)
+{
+    std::erase_if(m_data_centres,
+                  [now](const auto& item)
+                  {
+                      return item.second.age(now) > max_data_centre_age;
+                  });
+    timed_sums total;
+    total.received = now;
+    for (const auto& [data_centre, part] : m_data_centres)
+    {
+        add_sums(total.sums.rows, part.sums.rows);
+        total.sums.age_ms =
+            std::max(total.sums.age_ms, to_age_ms(part.age(now)));
+    }
+    m_region = std::move(total);
+}
+
+std::optional<load_digest> digest_tree::load_of(model_key model,
+                                                time_point now) const
+{
+    if (!m_region)
+    {
+        return std::nullopt;
+    }
+    const auto found = m_region->sums.rows.find(model);
+    if (found == m_region->sums.rows.end())
+    {
+        return std::nullopt;
+    }
+    const auto& row = found->second;
+    return load_digest{
+        row.in_flight, row.eligible, row.eligible, m_region->age(now)};
+}
+
+std::optional<load_digest> digest_tree::load_of(const region_id& region,
+                                                model_key model,
+                                                time_point now) const
+{
+    const auto found = m_others.find(region);
+    if (found == m_others.end() || !found->second.sums)
+    {
+        return std::nullopt;
+    }
+    const auto& sums = *found->second.sums;
+    const auto row = sums.sums.rows.find(model);
+    if (row == sums.sums.rows.end())
+    {
+        return std::nullopt;
+    }
+    return load_digest{row->second.in_flight,
+                       row->second.eligible,
+                       row->second.eligible,
+                       sums.age(now)};
+}
+
+std::vector<router_record> digest_tree::own_contacts() const
+{
+    std::vector<router_record> contacts{m_state.self()};
+    std::vector<const router_record*> others;
+    for (const auto& [name, entry] : m_state.routers())
+    {
+        if (name != m_state.self_key() &&
+            entry.record.state == router_state::alive)
+        {
+            others.push_back(&entry.record);
+        }
+    }
+    while (contacts.size() < sent_contacts && !others.empty())
+    {
+        const auto index = m_state.random().below(others.size());
+        contacts.push_back(*others[index]);
+        others.erase(others.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+    return contacts;
+}
+
+void digest_tree::exchange_regions(time_point now)
+{
+    if (m_place.gateway != m_state.self_key() || m_others.empty() || !m_region)
+    {
+        return;
+    }
+    region_sums output;
+    output.region = m_state.self().self.region;
+    output.contacts = own_contacts();
+    output.sums = m_region->sums;
+    output.sums.age_ms = to_age_ms(m_region->age(now));
+    for (const auto& [region, other] : m_others)
+    {
+        const auto& contacts = other.contacts;
+        const auto index = m_state.random().below(contacts.size());
+        m_out.send(contacts[index], traffic::digests, output);
+    }
+}
+
+void digest_tree::keep_contacts(other_region& region, const region_sums& input)
+{
+    for (const auto& contact : input.contacts)
+    {
+        std::erase_if(region.contacts,
+                      [&](const peer& known)
+                      {
+                          return known.vm == contact.self.vm;
+                      });
+        region.contacts.push_back(contact.self);
+    }
+    while (region.contacts.size() > max_contacts)
+    {
+        region.contacts.erase(region.contacts.begin());
+    }
+}
+
+void digest_tree::on_region_sums(key from,
+                                 const region_sums& input,
+                                 time_point now)
+{
+    const bool known = m_others.contains(input.region);
+    if (input.region == m_state.self().self.region || input.contacts.empty() ||
+        (!known && m_others.size() >= max_regions))
+    {
+        return;
+    }
+    find_place();
+    auto& other = m_others[input.region];
+    other.sums = timed_sums{input.sums, now};
+    keep_contacts(other, input);
+    auto relayed = input;
+    relayed.relayed = true;
+    const bool is_gateway = m_place.gateway == m_state.self_key();
+    if (!is_gateway && !input.relayed)
+    {
+        send(m_place.gateway, relayed);
+        return;
+    }
+    const bool from_above = from == m_place.gateway || from == m_place.parent;
+    if (!is_gateway && !from_above)
+    {
+        return;
+    }
+    if (is_gateway)
+    {
+        for (const auto root : m_place.other_roots)
+        {
+            send(root, relayed);
+        }
+    }
+    for (const auto child : m_place.children)
+    {
+        send(child, relayed);
+    }
+}
+
+std::size_t digest_tree::state_bytes() const
+{
+    constexpr std::size_t row_bytes = 48 + sizeof(load_row);
+    std::size_t rows = m_region ? m_region->sums.rows.size() : 0;
+    for (const auto& [name, sums] : m_reports)
+    {
+        rows += sums.sums.rows.size();
+    }
+    for (const auto& [name, sums] : m_data_centres)
+    {
+        rows += sums.sums.rows.size();
+    }
+    std::size_t contacts = 0;
+    for (const auto& [region, other] : m_others)
+    {
+        rows += other.sums ? other.sums->sums.rows.size() : 0;
+        contacts += other.contacts.size();
+    }
+    return sizeof(*this) + rows * row_bytes + contacts * sizeof(peer);
+}
+
+} // namespace limpet::membership
--- /dev/null
+++ b/libs/membership/src/digest_tree.hpp
@@ -0,0 +1,100 @@
+/// \file
+/// Sums of load over a region.
+
+#pragma once
+
+#include "outbox.hpp"
+#include "ownership_tracker.hpp"
+
+#include <limpet/membership/load_digest.hpp>
+
+#include <set>
+
+namespace limpet::membership
+{
+
+/// Sums load over a tree of the routers of each data centre. The root starts
+/// a round with a message that carries the region's sums down and is answered
+/// by reports on the way up; roots of one region then exchange the sums of
+/// their data centres. So sums are as old as one period and a few message
+/// times. One root of each region exchanges sums with other regions.
+class digest_tree
+{
+public:
+    digest_tree(region_state& state,
+                const ownership_tracker& owned,
+                outbox& out,
+                const std::vector<peer>& seeds,
+                time_point now);
+
+    void tick(time_point now);
+    void on_collect(key from, const collect& round, time_point now);
+    void on_report(key from, const report& answer, time_point now);
+    void on_sums(key from, const data_centre_sums& input, time_point now);
+    void on_region_sums(key from, const region_sums& input, time_point now);
+
+    std::optional<load_digest> load_of(model_key model, time_point now) const;
+    std::optional<load_digest>
+    load_of(const region_id& region, model_key model, time_point now) const;
+
+    std::size_t state_bytes() const;
+
+private:
+    /// Sums and the time at which they were received.
+    struct timed_sums
+    {
+        load_sums sums;
+        time_point received;
+
+        duration age(time_point now) const
+        {
+            return now - received + milliseconds(sums.age_ms);
+        }
+    };
+
+    struct other_region
+    {
+        std::vector<peer> contacts;
+        std::optional<timed_sums> sums;
+    };
+
+    /// This router's place, by its own snapshot.
+    struct place
+    {
+        std::uint64_t version = 0;
+        key parent = 0;
+        std::vector<key> children;
+        /// Roots of the region's other data centres, if this is a root.
+        std::vector<key> other_roots;
+        key gateway = 0;
+        bool is_root = false;
+    };
+
+    void find_place();
+    void begin_round(time_point now);
+    void pass_down(time_point now);
+    void complete(time_point now);
+    load_sums subtree(time_point now) const;
+    void sum_region(time_point now);
+    void send(key to, const body& content);
+    void exchange_regions(time_point now);
+    void keep_contacts(other_region& region, const region_sums& input);
+    std::vector<router_record> own_contacts() const;
+
+    region_state& m_state;
+    const ownership_tracker& m_owned;
+    outbox& m_out;
+    place m_place;
+    std::uint32_t m_round = 0;
+    time_point m_next_round;
+    time_point m_next_exchange;
+    /// Time after which a round ends without the missing reports.
+    std::optional<time_point> m_deadline;
+    std::set<key> m_awaited;
+    std::map<key, timed_sums> m_reports;
+    std::map<key, timed_sums> m_data_centres;
+    std::optional<timed_sums> m_region;
+    std::map<region_id, other_region> m_others;
+};
+
+} // namespace limpet::membership
--- /dev/null
+++ b/libs/membership/src/engine_registry.cpp
@@ -0,0 +1,199 @@
+#include "engine_registry.hpp"
+
+#include <algorithm>
+
+namespace limpet::membership
+{
+
+namespace
+{
+
+/// Changes of one engine that are taken without delay.
+constexpr std::uint8_t free_flaps = 3;
+constexpr std::uint8_t max_flaps = 20;
+
+bool same_description(const announcement& first, const announcement& second)
+{
+    return first.address == second.address && first.models == second.models &&
+           first.slots == second.slots && first.kind == second.kind &&
+           first.checks_fencing == second.checks_fencing &&
+           first.data_centre == second.data_centre;
+}
+
+/// Returns how long an engine must have been unchanged to change again.
+duration quiet_time(const settings& values, std::uint8_t flaps)
+{
+    if (flaps < free_flaps)
+    {
+        return duration(0);
+    }
+    auto wait = values.hold_down;
+    for (auto i = free_flaps; i < flaps && wait < values.max_hold_down; ++i)
+    {
+        wait *= 2;
+    }
+    return std::min(wait, values.max_hold_down);
+}
+
+std::uint8_t
+next_flaps(const settings& values, const engine_slot& slot, time_point now)
+{
+    if (now - slot.changed_at > 2 * values.max_hold_down)
+    {
+        return 0;
+    }
+    const auto next = static_cast<std::uint8_t>(slot.record->flaps + 1);
+    return std::min(next, max_flaps);
+}
+
+} // namespace
+
+engine_registry::engine_registry(region_state& state,
+                                 ownership_tracker& owned,
+                                 outbox& out,
+                                 time_point now)
+    : m_state(state),
+      m_owned(owned),
+      m_out(out),
+      m_next_forward(now)
+{
+}
+
+outcome<announce_result> engine_registry::announce(const announcement& server,
+                                                   time_point now)
+{
+    auto judged = judge(server, now);
+    if (!is_ok(judged))
+    {
+        return error_of(judged);
+    }
+    const auto& record = value_of(judged);
+    const bool changed = m_state.merge(record, now);
+    m_owned.refresh(now);
+    renew(*record, changed, now);
+    const auto& values = m_state.values();
+    announce_result result{values.engine_renewal, values.engine_lease, {}};
+    const auto current = m_state.snapshot();
+    if (const auto* owner = current->owner_of(server.engine))
+    {
+        result.owner_address = owner->self.address;
+    }
+    return result;
+}
+
+std::optional<error> engine_registry::refuse(const announcement& server,
+                                             key name,
+                                             time_point now) const
+{
+    const auto* slot = m_state.find_engine(name);
+    if (slot == nullptr)
+    {
+        const bool full =
+            m_state.engines().size() >= m_state.values().max_engines;
+        return full ? std::optional(error{error_code::overloaded,
+                                          "too many backend servers"})
+                    : std::nullopt;
+    }
+    const auto& known = *slot->record;
+    if (server.started < known.server.started)
+    {
+        return error{error_code::conflict, "a later incarnation is known"};
+    }
+    const bool same = server.started == known.server.started;
+    if (same && known.server.leaving && !server.leaving)
+    {
+        return error{error_code::conflict,
+                     "the server has left under this incarnation"};
+    }
+    const bool comes =
+        !same || known.gone || !same_description(server, known.server);
+    const auto wait = quiet_time(m_state.values(), known.flaps);
+    if (comes && !server.leaving && now - slot->changed_at < wait)
+    {
+        return error{error_code::overloaded,
+                     "the server changes too often; try again later"};
+    }
+    return std::nullopt;
+}
+
+outcome<engine_ptr> engine_registry::judge(const announcement& server,
+                                           time_point now)
+{
+    const auto name = key_of(server.engine);
+    if (auto refused = refuse(server, name, now))
+    {
+        return *refused;
+    }
+    auto record = std::make_shared<engine_record>();
+    record->server = server;
+    const auto* slot = m_state.find_engine(name);
+    if (slot == nullptr)
+    {
+        return engine_ptr(std::move(record));
+    }
+    const auto& known = *slot->record;
+    record->flaps = known.flaps;
+    if (server.started > known.server.started)
+    {
+        record->flaps = next_flaps(m_state.values(), *slot, now);
+        return engine_ptr(std::move(record));
+    }
+    record->version = known.version;
+    if (server.leaving)
+    {
+        record->gone = known.gone;
+    }
+    else if (known.gone || !same_description(server, known.server))
+    {
+        ++record->version;
+        record->flaps = next_flaps(m_state.values(), *slot, now);
+    }
+    return engine_ptr(std::move(record));
+}
+
+void engine_registry::renew(const engine_record& record,
+                            bool changed,
+                            time_point now)
+{
+    const auto name = key_of(record.server.engine);
+    const auto current = m_state.snapshot();
+    const auto* owner = current->owner_of(record.server.engine);
+    const renewal item{name, record.server.started};
+    if (owner == nullptr || key_of(owner->self.vm) == m_state.self_key())
+    {
+        m_owned.on_renewal(item, now);
+        return;
+    }
+    if (!changed)
+    {
+        m_renewals[key_of(owner->self.vm)].items.push_back(item);
+        return;
+    }
+    // The owner hears of a change at once, as it alone acts on it.
+    updates changes;
+    changes.engines.push_back(m_state.find_engine(name)->record);
+    m_out.send(owner->self,
+               traffic::announcements,
+               renewals{{item}},
+               std::move(changes));
+}
+
+void engine_registry::tick(time_point now)
+{
+    if (now < m_next_forward)
+    {
+        return;
+    }
+    m_next_forward = now + m_state.values().gossip_period;
+    for (auto& [to, items] : m_renewals)
+    {
+        if (const auto* owner = m_state.find_router(to))
+        {
+            m_out.send(
+                owner->record.self, traffic::announcements, std::move(items));
+        }
+    }
+    m_renewals.clear();
+}
+
+} // namespace limpet::membership
--- /dev/null
+++ b/libs/membership/src/engine_registry.hpp
@@ -0,0 +1,41 @@
+/// \file
+/// Announcements of backend servers.
+
+#pragma once
+
+#include "outbox.hpp"
+#include "ownership_tracker.hpp"
+
+namespace limpet::membership
+{
+
+/// Takes announcements, merges them into the region's records and forwards
+/// renewals to the engines' owners.
+class engine_registry
+{
+public:
+    engine_registry(region_state& state,
+                    ownership_tracker& owned,
+                    outbox& out,
+                    time_point now);
+
+    outcome<announce_result> announce(const announcement& server,
+                                      time_point now);
+
+    /// Sends the renewals gathered since the last time.
+    void tick(time_point now);
+
+private:
+    outcome<engine_ptr> judge(const announcement& server, time_point now);
+    std::optional<error>
+    refuse(const announcement& server, key name, time_point now) const;
+    void renew(const engine_record& record, bool changed, time_point now);
+
+    region_state& m_state;
+    ownership_tracker& m_owned;
+    outbox& m_out;
+    time_point m_next_forward;
+    std::map<key, renewals> m_renewals;
+};
+
+} // namespace limpet::membership
--- /dev/null
+++ b/libs/membership/src/ownership_tracker.hpp
@@ -0,0 +1,149 @@
+/// \file
+/// Engines that a router owns, and how far.
+
+#pragma once
+
+#include "outbox.hpp"
+#include "quorum.hpp"
+
+#include <limpet/membership/load_digest.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace limpet::membership
+{
+
+/// Follows the snapshots and tracks for each engine of this router how the
+/// ownership began, the lease of the former owner and the fencing number.
+///
+/// An ownership begins as limited. It becomes full when the former owner
+/// hands over or has left; when the engine is new to a data centre that this
+/// router has held a lease in for long; or one lease after a quorum agreed on
+/// the change, as by then the former owner's lease has run out. While this
+/// router's own lease has lapsed, it owns nothing, unless it hears no router
+/// at all but still hears the engine: then the ownership is limited.
+class ownership_tracker
+{
+public:
+    ownership_tracker(region_state& state,
+                      const quorum& grants,
+                      outbox& out,
+                      time_point now);
+
+    /// Takes in the current snapshot.
+    void refresh(time_point now);
+
+    /// Advances all ownerships.
+    void tick(time_point now);
+
+    void on_hand_over(key from, const hand_over& items, time_point now);
+
+    /// Records that the engine renewed, here or through another router.
+    void on_renewal(const renewal& item, time_point now);
+
+    /// Records that another router was heard.
+    void on_heard(time_point now) noexcept
+    {
+        m_last_heard = now;
+    }
+
+    void set_load(key engine, const engine_load& load);
+
+    /// Returns whether an ownership waits for a quorum's answers.
+    bool needs_quorum() const noexcept
+    {
+        return m_needs_quorum;
+    }
+
+    ownership standing(key engine, time_point now) const;
+
+    /// Returns this router's part of the region's load.
+    load_rows own_rows() const;
+
+    std::size_t state_bytes() const;
+
+private:
+    enum class fencing_stage : std::uint8_t
+    {
+        reading, ///< Asks a quorum for the highest clock.
+        writing, ///< Tells a quorum the number drawn.
+        known
+    };
+
+    struct holding
+    {
+        incarnation started;
+        key former = 0;
+        /// Whether the engine's data centre has routers that were removed,
+        /// so that they may be cut off rather than down.
+        bool stand_in = false;
+        time_point gained;
+        std::optional<time_point> full_at;
+        std::optional<time_point> renewed;
+        std::optional<time_point> first_renewed;
+        fencing_stage stage = fencing_stage::reading;
+        time_point stage_began;
+        std::uint64_t clock = 0;
+        std::optional<handed_over> inherited;
+        time_point inherited_at;
+        ownership_mode reported = ownership_mode::none;
+    };
+
+    /// An engine whose requests here outlive the ownership.
+    struct passed_on
+    {
+        key to = 0;
+        std::uint32_t reported = 0;
+    };
+
+    struct early_hand_over
+    {
+        key from = 0;
+        hand_over_item item;
+        time_point received;
+    };
+
+    holding gain(const engine_entry& entry, time_point now);
+    holding keep(holding held, const engine_record& engine) const;
+    bool is_own(const view& current, const engine_entry& entry) const;
+    void lose(key engine, const holding& held);
+    bool has_long_lease(time_point now) const;
+    bool has_removed_routers(const data_centre_id& data_centre) const;
+    void refute_removals(time_point now);
+    bool holds_lease(time_point now) const;
+    bool is_alone(time_point now) const;
+    void watch_lease(time_point now);
+    void regain(holding& held, time_point now);
+    void advance(holding& held, time_point now);
+    void
+    advance_fencing(holding& held, std::uint64_t& batch_clock, time_point now);
+    void
+    accept(key from, holding& held, const hand_over_item& item, time_point now);
+    void expire_engines(time_point now);
+    void report_modes(time_point now);
+    void pass_on_loads(time_point now);
+    void send_hand_overs();
+    ownership_mode mode_of(const holding& held, time_point now) const;
+    fencing_number number_of(const holding& held) const;
+    engine_load load_of(key engine) const;
+
+    region_state& m_state;
+    const quorum& m_quorum;
+    outbox& m_out;
+    std::shared_ptr<const view> m_view;
+    std::map<key, holding> m_holdings;
+    std::map<key, engine_load> m_loads;
+    std::map<key, passed_on> m_passed_on;
+    std::map<key, early_hand_over> m_early;
+    std::map<key, hand_over> m_to_send;
+    time_point m_last_heard;
+    time_point m_next_report;
+    time_point m_next_expiry;
+    /// Time since which the lease has held without a gap.
+    std::optional<time_point> m_lease_since;
+    bool m_needs_quorum = false;
+};
+
+} // namespace limpet::membership
--- /dev/null
+++ b/libs/membership/src/prober.hpp
@@ -0,0 +1,87 @@
+/// \file
+/// Failure detection by probes.
+
+#pragma once
+
+#include "outbox.hpp"
+#include "quorum.hpp"
+
+#include <optional>
+
+namespace limpet::membership
+{
+
+/// Probes the region's routers in turn, those of the own data centre more
+/// often as their answers also extend this router's lease. A router that
+/// answers neither directly nor through others becomes suspect and, if it
+/// does not refute that in time, dead.
+class prober
+{
+public:
+    prober(region_state& state, quorum& grants, outbox& out, time_point now);
+
+    /// Sends the probes that are due and judges those that timed out.
+    void tick(time_point now);
+
+    void on_ping(const router_entry& from, const ping& probe, time_point now);
+    void on_ack(key from, const ack& answer, time_point now);
+
+    /// Answers a probe of an unknown router, so that it joins.
+    void refuse(const peer& to, const ping& probe);
+
+    /// Probes all voters at once, to renew or gain the lease quickly.
+    void probe_voters(time_point now);
+
+private:
+    struct outstanding
+    {
+        key target = 0;
+        time_point sent;
+        time_point deadline;
+        bool indirect = false;
+    };
+
+    struct relay
+    {
+        key requester = 0;
+        std::uint32_t sequence = 0;
+        key subject = 0;
+        time_point deadline;
+    };
+
+    /// Routers still to be probed in this turn.
+    struct rotation
+    {
+        bool home = false;
+        std::vector<key> left;
+    };
+
+    std::uint32_t send_ping(const router_entry& to, time_point now);
+    void
+    add_recent(const router_entry& to, time_point now, updates& changes) const;
+    void probe(key target, time_point now);
+    void probe_next(time_point now);
+    void contact_removed();
+    std::optional<key> next_of(rotation& turn);
+    void fill(rotation& turn);
+    void expire_probes(time_point now);
+    void expire_suspects(time_point now);
+    void ask_others(std::uint32_t sequence, const outstanding& one);
+    void suspect(key target, time_point now);
+    void renew_lease(time_point now);
+    void answer_relay(std::uint32_t sequence);
+
+    region_state& m_state;
+    quorum& m_quorum;
+    outbox& m_out;
+    std::uint32_t m_sequence = 0;
+    std::uint64_t m_probes = 0;
+    time_point m_next_probe;
+    time_point m_next_renewal;
+    std::map<std::uint32_t, outstanding> m_outstanding;
+    std::map<std::uint32_t, relay> m_relays;
+    rotation m_home{true, {}};
+    rotation m_away{false, {}};
+};
+
+} // namespace limpet::membership
--- /dev/null
+++ b/libs/membership/src/region_state.cpp
@@ -0,0 +1,442 @@
+#include "region_state.hpp"
+
+#include <algorithm>
+#include <bit>
+
+namespace limpet::membership
+{
+
+namespace
+{
+
+/// Incarnations below this bound are taken as times, so that the clock of a
+/// restarted router begins above all numbers of its former process.
+constexpr std::uint64_t max_clock_start = std::uint64_t{1} << 47U;
+/// A clock further ahead than this is not a sane peer's.
+constexpr std::uint64_t max_clock = std::uint64_t{1} << 48U;
+
+constexpr std::uint32_t max_flaps = 20;
+
+router_record first_record(peer self, incarnation started)
+{
+    router_record record;
+    record.self = std::move(self);
+    record.started = started;
+    return record;
+}
+
+router_entry unheard_entry(const peer& seed, time_point now)
+{
+    router_entry entry;
+    entry.record.self = seed;
+    entry.record.state = router_state::dead;
+    entry.changed_at = now;
+    return entry;
+}
+
+} // namespace
+
+region_state::region_state(const settings& values,
+                           peer self,
+                           incarnation started,
+                           const std::vector<peer>& seeds,
+                           std::uint64_t random_seed,
+                           time_point now)
+    : m_settings(values),
+      m_random(random_seed),
+      m_self_key(key_of(self.vm))
+{
+    if (started.get() < max_clock_start)
+    {
+        m_clock = started.get();
+    }
+    m_routers[m_self_key] = {first_record(std::move(self), started), now};
+    for (const auto& seed : seeds)
+    {
+        const auto name = key_of(seed.vm);
+        if (name != m_self_key &&
+            seed.region == m_routers.at(m_self_key).record.self.region)
+        {
+            m_routers[name] = unheard_entry(seed, now);
+        }
+    }
+}
+
+void region_state::change_self(router_record record, time_point now)
+{
+    record.version = self().version + 1;
+    store(m_self_key, record, now);
+}
+
+bool region_state::active() const
+{
+    return !m_superseded_by && self().state != router_state::left;
+}
+
+const router_entry* region_state::find_router(key name) const
+{
+    const auto found = m_routers.find(name);
+    return found == m_routers.end() ? nullptr : &found->second;
+}
+
+const engine_slot* region_state::find_engine(key name) const
+{
+    const auto found = m_engines.find(name);
+    return found == m_engines.end() ? nullptr : &found->second;
+}
+
+bool region_state::challenge(const router_record& claimed, time_point now)
+{
+    if (claimed.started > self().started)
+    {
+        m_superseded_by = claimed.started;
+        touch();
+        return true;
+    }
+    if (claimed.started < self().started || !active() ||
+        !supersedes(claimed, self()))
+    {
+        return false;
+    }
+    auto refuted = self();
+    if (claimed.state == router_state::dead)
+    {
+        // Removed though it lives: it owns nothing until it is stable again.
+        refuted.flaps = static_cast<std::uint8_t>(
+            std::min<std::uint32_t>(refuted.flaps + 1, max_flaps));
+        refuted.ready = false;
+    }
+    // Replaces the claim's version even if that is higher than our own.
+    m_routers.at(m_self_key).record.version = claimed.version;
+    change_self(std::move(refuted), now);
+    return true;
+}
+
+bool region_state::merge(const router_record& record, time_point now)
+{
+    const auto name = key_of(record.self.vm);
+    if (name == m_self_key)
+    {
+        return challenge(record, now);
+    }
+    const auto* known = find_router(name);
+    const bool foreign = record.self.region != self().self.region;
+    if (foreign || record.started == incarnation(0) ||
+        (known == nullptr && (m_routers.size() >= m_settings.max_routers ||
+                              is_forgotten(name, record.started))) ||
+        (known != nullptr && !supersedes(record, known->record)))
+    {
+        return false;
+    }
+    store(name, record, now);
+    return true;
+}
+
+bool region_state::merge(const router_status& status, time_point now)
+{
+    const auto* known = find_router(status.router);
+    if (known == nullptr)
+    {
+        return false;
+    }
+    // Without a description, only a later start of this router itself counts.
+    const bool own = status.router == m_self_key;
+    if (!own && known->record.started != status.started)
+    {
+        return false;
+    }
+    auto record = known->record;
+    record.started = status.started;
+    record.version = status.version;
+    record.state = status.state;
+    record.flaps = status.flaps;
+    record.ready = status.ready;
+    return merge(record, now);
+}
+
+bool region_state::merge(const engine_ptr& record, time_point now)
+{
+    const auto name = key_of(record->server.engine);
+    const auto* known = find_engine(name);
+    if (known == nullptr)
+    {
+        if (record->gone || m_engines.size() >= m_settings.max_engines)
+        {
+            return false;
+        }
+    }
+    else if (!supersedes(*record, *known->record))
+    {
+        return false;
+    }
+    store(name, record, now);
+    return true;
+}
+
+bool region_state::merge(const engine_status& status, time_point now)
+{
+    const auto* known = find_engine(status.engine);
+    if (known == nullptr || known->record->server.started != status.started)
+    {
+        return false;
+    }
+    auto record = std::make_shared<engine_record>(*known->record);
+    record->version = status.version;
+    record->flaps = status.flaps;
+    record->server.leaving = status.leaving;
+    record->gone = status.gone;
+    return merge(engine_ptr(std::move(record)), now);
+}
+
+void region_state::merge(const updates& changes, time_point now)
+{
+    const auto merge_all = [this, now](const auto& items)
+    {
+        for (const auto& item : items)
+        {
+            merge(item, now);
+        }
+    };
+    merge_all(changes.routers);
+    merge_all(changes.router_statuses);
+    merge_all(changes.engines);
+    merge_all(changes.engine_statuses);
+}
+
+void region_state::merge_compared(const updates& changes, time_point now)
+{
+    m_passes_on = false;
+    merge(changes, now);
+    m_passes_on = true;
+}
+
+void region_state::set_router_state(key name,
+                                    router_state state,
+                                    time_point now)
+{
+    auto record = m_routers.at(name).record;
+    record.state = state;
+    store(name, record, now);
+}
+
+void region_state::store(key name, const router_record& record, time_point now)
+{
+    auto& entry = m_routers[name];
+    const bool whole = entry.record.started != record.started ||
+                       entry.record.self != record.self;
+    entry.record = record;
+    entry.changed_at = now;
+    m_forgotten.erase(name);
+    queue(subject::router, name, whole);
+    touch();
+}
+
+void region_state::store(key name, engine_ptr record, time_point now)
+{
+    auto& slot = m_engines[name];
+    const auto description = [](const announcement& server)
+    {
+        return std::tie(server.started,
+                        server.address,
+                        server.models,
+                        server.slots,
+                        server.checks_fencing);
+    };
+    const bool whole = !slot.record || description(slot.record->server) !=
+                                           description(record->server);
+    slot.record = std::move(record);
+    slot.changed_at = now;
+    queue(subject::engine, name, whole);
+    touch();
+}
+
+void region_state::queue(subject about, key name, bool whole)
+{
+    const bool own = about == subject::router && name == m_self_key;
+    if (!m_passes_on && !own)
+    {
+        return;
+    }
+    const auto members = static_cast<std::uint32_t>(m_routers.size());
+    const auto sends = 2 * static_cast<std::uint32_t>(std::bit_width(members));
+    m_queue.add(about, name, sends, whole);
+}
+
+void region_state::touch() noexcept
+{
+    ++m_version;
+    m_snapshot.reset();
+}
+
+bool region_state::is_forgotten(key name, incarnation started) const
+{
+    const auto found = m_forgotten.find(name);
+    return found != m_forgotten.end() &&
+           found->second.record.started >= started;
+}
+
+void region_state::forget(time_point now, bool hears_quorum)
+{
+    const auto old = [this, now](time_point changed_at)
+    {
+        return now - changed_at > m_settings.retention;
+    };
+    std::erase_if(m_engines,
+                  [&](const auto& item)
+                  {
+                      return item.second.record->gone &&
+                             old(item.second.changed_at);
+                  });
+    std::erase_if(m_forgotten,
+                  [&](const auto& item)
+                  {
+                      return old(item.second.changed_at);
+                  });
+    if (!hears_quorum)
+    {
+        return;
+    }
+    for (auto i = m_routers.begin(); i != m_routers.end();)
+    {
+        if (i->first == m_self_key || i->second.record.is_member() ||
+            !old(i->second.changed_at))
+        {
+            ++i;
+            continue;
+        }
+        i->second.changed_at = now;
+        m_forgotten[i->first] = i->second;
+        i = m_routers.erase(i);
+        touch();
+    }
+}
+
+updates region_state::take_updates(std::size_t max_bytes, std::uint32_t copies)
+{
+    updates result;
+    std::size_t bytes = 0;
+    const auto fits = [&](std::size_t more)
+    {
+        // At least one change goes, however large.
+        const bool ok = bytes == 0 || bytes + more <= max_bytes;
+        bytes += more;
+        return ok;
+    };
+    const auto add_router = [&](key name, bool whole)
+    {
+        const auto* entry = find_router(name);
+        if (entry == nullptr)
+        {
+            return true;
+        }
+        if (!fits(whole ? encoded_bytes(entry->record) : sizeof(router_status)))
+        {
+            return false;
+        }
+        if (whole)
+        {
+            result.routers.push_back(entry->record);
+            return true;
+        }
+        result.router_statuses.push_back(status_of(name, entry->record));
+        return true;
+    };
+    const auto add_engine = [&](key name, bool whole)
+    {
+        const auto* slot = find_engine(name);
+        if (slot == nullptr)
+        {
+            return true;
+        }
+        const auto& record = *slot->record;
+        if (!fits(whole ? encoded_bytes(record) : sizeof(engine_status)))
+        {
+            return false;
+        }
+        if (whole)
+        {
+            result.engines.push_back(slot->record);
+            return true;
+        }
+        result.engine_statuses.push_back({name,
+                                          record.server.started,
+                                          record.version,
+                                          record.flaps,
+                                          record.server.leaving,
+                                          record.gone});
+        return true;
+    };
+    m_queue.send(copies,
+                 [&](subject about, key name, bool whole)
+                 {
+                     return about == subject::router ? add_router(name, whole)
+                                                     : add_engine(name, whole);
+                 });
+    return result;
+}
+
+router_status region_state::status_of(key name, const router_record& record)
+{
+    return {name,
+            record.started,
+            record.version,
+            record.state,
+            record.flaps,
+            record.ready};
+}
+
+std::shared_ptr<const view> region_state::snapshot()
+{
+    if (m_snapshot)
+    {
+        return m_snapshot;
+    }
+    std::vector<router_record> members;
+    for (const auto& [name, entry] : m_routers)
+    {
+        const bool acting = name != m_self_key || active();
+        if (acting && entry.record.is_member())
+        {
+            members.push_back(entry.record);
+        }
+    }
+    std::vector<engine_ptr> engines;
+    for (const auto& [name, slot] : m_engines)
+    {
+        if (!slot.record->gone)
+        {
+            engines.push_back(slot.record);
+        }
+    }
+    m_snapshot = std::make_shared<const view>(
+        m_version, std::move(members), std::move(engines));
+    return m_snapshot;
+}
+
+void region_state::raise_clock(std::uint64_t seen) noexcept
+{
+    if (seen < max_clock)
+    {
+        m_clock = std::max(m_clock, seen);
+    }
+}
+
+std::size_t region_state::state_bytes() const
+{
+    constexpr std::size_t map_node_bytes = 48;
+    std::size_t bytes =
+        sizeof(*this) +
+        m_queue.size() * (map_node_bytes + sizeof(update_queue::entry));
+    for (const auto& [name, entry] : m_routers)
+    {
+        bytes += map_node_bytes + sizeof(entry) + encoded_bytes(entry.record);
+    }
+    for (const auto& [name, slot] : m_engines)
+    {
+        bytes += map_node_bytes + sizeof(slot) + sizeof(engine_record) +
+                 encoded_bytes(*slot.record);
+    }
+    return bytes;
+}
+
+} // namespace limpet::membership
--- /dev/null
+++ b/libs/membership/src/region_state.hpp
@@ -0,0 +1,177 @@
+/// \file
+/// Records of a region's routers and engines, as one router holds them.
+
+#pragma once
+
+#include "message.hpp"
+#include "update_queue.hpp"
+
+#include <limpet/base/random.hpp>
+#include <limpet/membership/settings.hpp>
+#include <limpet/membership/view.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace limpet::membership
+{
+
+/// A router's record and the time of its last change here.
+struct router_entry
+{
+    router_record record;
+    time_point changed_at;
+
+    /// Returns whether the router is only named by the settings so far.
+    bool unheard() const noexcept
+    {
+        return record.started == incarnation(0);
+    }
+};
+
+/// An engine's record and the time of its last change here.
+struct engine_slot
+{
+    engine_ptr record;
+    time_point changed_at;
+};
+
+/// Holds the records and merges changes into them. Each change is queued for
+/// the other routers. The parts of the node share one region_state.
+class region_state
+{
+public:
+    region_state(const settings& values,
+                 peer self,
+                 incarnation started,
+                 const std::vector<peer>& seeds,
+                 std::uint64_t random_seed,
+                 time_point now);
+
+    const settings& values() const noexcept
+    {
+        return m_settings;
+    }
+
+    random_source& random() noexcept
+    {
+        return m_random;
+    }
+
+    key self_key() const noexcept
+    {
+        return m_self_key;
+    }
+
+    /// Returns this router's own record.
+    const router_record& self() const
+    {
+        return m_routers.at(m_self_key).record;
+    }
+
+    /// Replaces this router's own record by one with a higher version.
+    void change_self(router_record record, time_point now);
+
+    /// Returns the incarnation that replaced this process, if any.
+    const std::optional<incarnation>& superseded_by() const noexcept
+    {
+        return m_superseded_by;
+    }
+
+    /// Returns whether this router takes part (did not leave and was not
+    /// replaced).
+    bool active() const;
+
+    const std::map<key, router_entry>& routers() const noexcept
+    {
+        return m_routers;
+    }
+
+    const std::map<key, engine_slot>& engines() const noexcept
+    {
+        return m_engines;
+    }
+
+    const router_entry* find_router(key name) const;
+    const engine_slot* find_engine(key name) const;
+
+    /// Merge a change and return whether it was news.
+    bool merge(const router_record& record, time_point now);
+    bool merge(const router_status& status, time_point now);
+    bool merge(const engine_ptr& record, time_point now);
+    bool merge(const engine_status& status, time_point now);
+    void merge(const updates& changes, time_point now);
+
+    /// Merges what comes from comparing lists, which the others get the same
+    /// way, so it is not passed on.
+    void merge_compared(const updates& changes, time_point now);
+
+    /// Sets the state of a router under its present version.
+    void set_router_state(key name, router_state state, time_point now);
+
+    /// Forgets removed routers and engines after the retention. Routers only
+    /// if the caller hears a quorum, so that an isolated router never counts
+    /// itself as the only member.
+    void forget(time_point now, bool hears_quorum);
+
+    /// Returns queued changes of up to about the given size, counting each as
+    /// sent to the given number of routers.
+    updates take_updates(std::size_t max_bytes, std::uint32_t copies);
+
+    bool has_updates() const noexcept
+    {
+        return !m_queue.empty();
+    }
+
+    /// Returns the change that tells a router about itself.
+    static router_status status_of(key name, const router_record& record);
+
+    /// Returns the current snapshot.
+    std::shared_ptr<const view> snapshot();
+
+    /// Returns a number that rises with each change.
+    std::uint64_t version() const noexcept
+    {
+        return m_version;
+    }
+
+    /// Logical clock that all messages carry.
+    std::uint64_t clock() const noexcept
+    {
+        return m_clock;
+    }
+
+    void raise_clock(std::uint64_t seen) noexcept;
+    std::uint64_t advance_clock() noexcept
+    {
+        return ++m_clock;
+    }
+
+    std::size_t state_bytes() const;
+
+private:
+    bool challenge(const router_record& claimed, time_point now);
+    void store(key name, const router_record& record, time_point now);
+    void store(key name, engine_ptr record, time_point now);
+    void queue(subject about, key name, bool whole);
+    void touch() noexcept;
+    bool is_forgotten(key name, incarnation started) const;
+
+    settings m_settings;
+    random_source m_random;
+    key m_self_key;
+    std::map<key, router_entry> m_routers;
+    std::map<key, engine_slot> m_engines;
+    /// Removed routers that were forgotten lately; others may still send
+    /// their records.
+    std::map<key, router_entry> m_forgotten;
+    update_queue m_queue;
+    bool m_passes_on = true;
+    std::optional<incarnation> m_superseded_by;
+    std::uint64_t m_version = 1;
+    std::uint64_t m_clock = 0;
+    std::shared_ptr<const view> m_snapshot;
+};
+
+} // namespace limpet::membership
--- /dev/null
+++ b/libs/membership/src/synchroniser.hpp
@@ -0,0 +1,59 @@
+/// \file
+/// Spreading of changes and comparison of lists.
+
+#pragma once
+
+#include "outbox.hpp"
+
+#include <array>
+
+namespace limpet::membership
+{
+
+/// Sends pending changes to a few random routers, at a bounded rate, and
+/// compares the whole lists with a random router from time to time, so that
+/// lost changes are made up for.
+class synchroniser
+{
+public:
+    synchroniser(region_state& state, outbox& out, time_point now);
+
+    void tick(time_point now);
+    void on_request(const peer& from, const sync_request& request);
+    void on_records(const peer& from,
+                    const sync_records& records,
+                    const updates& theirs,
+                    time_point now);
+
+    /// Compares the lists again soon, until they are equal.
+    void hurry(time_point now);
+
+    /// Returns whether the last comparison found no difference.
+    bool in_sync() const noexcept
+    {
+        return m_in_sync;
+    }
+
+    /// Sends the pending changes at once, whatever the rate.
+    void flush(const std::vector<peer>& to);
+
+private:
+    static constexpr std::size_t bucket_count = 64;
+    using hashes = std::array<std::uint32_t, bucket_count>;
+
+    hashes compute() const;
+    updates records_of(const std::vector<std::uint8_t>& buckets) const;
+    std::vector<peer> random_members(std::size_t count);
+    void spread(time_point now);
+
+    region_state& m_state;
+    outbox& m_out;
+    time_point m_next_gossip;
+    time_point m_next_sync;
+    /// Bytes that may be spent on spreading changes.
+    double m_allowance = 0;
+    bool m_in_sync = false;
+    bool m_hurried = false;
+};
+
+} // namespace limpet::membership
