Replicated configuration: objects, commands, state machine and view

Routers and the control process need one definition of the operators' objects, with revisions that only rise and commands that take effect once.

A command names an operation id and the revision that it expects.

--- /dev/null
+++ b/libs/config/test/config_fixture.hpp
@@ -0,0 +1,138 @@
+/// \file
+/// A state machine with two partners and operators, shared by the tests.
+
+#pragma once
+
+#include <limpet/base/settings_reader.hpp>
+#include <limpet/config/state_machine.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+namespace limpet::config
+{
+
+/// Returns the error's text or, for a value, an empty text.
+template <class T>
+std::string message_of(const outcome<T>& result)
+{
+    return is_ok(result) ? std::string() : error_of(result).message;
+}
+
+struct config_fixture
+{
+    config_fixture()
+    {
+        put("root",
+            R"({"kind": "operator", "id": "root", "token_sha256": ")" +
+                to_hex(sha256("root-token")) + "\"}");
+        for (const std::string name : {"bureau", "utility"})
+        {
+            put_partner(name);
+        }
+        put("op-bureau",
+            R"({"kind": "service_route", "id": "bureau/alerts",
+                "service": "alerts", "repeatable_methods": ["GET"]})");
+    }
+
+    /// Returns the text with the name in the place of each dollar sign.
+    static std::string fill(std::string text, const std::string& name)
+    {
+        for (std::size_t at = text.find('$'); at != std::string::npos;
+             at = text.find('$'))
+        {
+            text.replace(at, 1, name);
+        }
+        return text;
+    }
+
+    /// Adds a partner with an operator, data centre, template and team.
+    void put_partner(const std::string& name)
+    {
+        const std::string author = "op-" + name;
+        const std::string token = to_hex(sha256(name + "-token"));
+        const std::string key = to_hex(sha256(name + "-key"));
+        put("root",
+            fill(R"({"kind": "partner", "id": "$", "guaranteed_percent": 40})",
+                 name));
+        put("root",
+            fill(R"({"kind": "operator", "id": "op-$", "partner": "$",
+                     "token_sha256": ")",
+                 name)
+                .append(token)
+                .append("\"}"));
+        put("root",
+            fill(R"({"kind": "data_centre", "id": "dc-$", "region": "r1",
+                     "partner": "$"})",
+                 name));
+        put(author,
+            fill(R"({"kind": "template", "id": "chat-$", "partner": "$",
+                     "parameters": {"models": ["m1"], "routes":
+                     [{"kind": "chat", "repeatable": true}]}})",
+                 name));
+        put(author,
+            fill(R"({"kind": "team", "id": "team-$", "partner": "$",
+                     "template": "chat-$", "overrides": {"priority": 7},
+                     "keys_sha256": [")",
+                 name)
+                .append(key)
+                .append("\"]}"));
+    }
+
+    /// Returns the command of the document.
+    static command order_of(const std::string& author,
+                            const std::string& document)
+    {
+        const auto json = parse_json(document);
+        BOOST_REQUIRE_MESSAGE(is_ok(json), document);
+        outcome<command> order = parse_command(value_of(json));
+        BOOST_REQUIRE_MESSAGE(is_ok(order), message_of(order));
+        value_of(order).author = operator_id(author);
+        return value_of(order);
+    }
+
+    static std::string document(const std::string& operation,
+                                std::uint64_t expected,
+                                const std::string& what)
+    {
+        return R"({"operation": ")" + operation +
+               R"(", "expected_revision": )" + std::to_string(expected) + "," +
+               what + "}";
+    }
+
+    command_result submit(const std::string& author,
+                          const std::string& command_document)
+    {
+        return machine.apply(++index, order_of(author, command_document));
+    }
+
+    /// Puts an object at whatever revision it has; it must be accepted.
+    void put(const std::string& author, const std::string& value)
+    {
+        const auto json = parse_json(value);
+        BOOST_REQUIRE_MESSAGE(is_ok(json), value);
+        const object_key key{
+            *parse_object_kind(value_of(json).at("kind").as_string()),
+            std::string(value_of(json).at("id").as_string())};
+        const auto mark = machine.view()->mark_of(key);
+        const command_result result =
+            submit(author,
+                   document("setup-" + std::to_string(index),
+                            mark ? mark->changed_at.get() : 0,
+                            "\"put\":" + value));
+        BOOST_REQUIRE_MESSAGE(std::holds_alternative<accepted>(result),
+                              boost::json::serialize(to_json(result)));
+    }
+
+    std::uint64_t revision_of(object_kind kind, const std::string& id) const
+    {
+        const auto mark = machine.view()->mark_of({kind, id});
+        return mark ? mark->changed_at.get() : 0;
+    }
+
+    state_machine machine{77, {64, 64}};
+    std::uint64_t index = 0;
+};
+
+} // namespace limpet::config
