--- /dev/null
+++ b/libs/claims/src/claim_table.cpp
@@ -0,0 +1,259 @@
+#include <limpet/claims/claim_table.hpp>
+
+#include <algorithm>
+
+namespace limpet::claims
+{
+
+namespace
+{
+
+/// Bytes that an entry takes with its hash node, its bucket and its items of
+/// the two queues. A constant of its own keeps replicas of different builds
+/// in agreement on when a group is full.
+constexpr std::uint64_t entry_bytes = 208;
+/// Texts up to this size are stored within the string object.
+constexpr std::uint64_t inline_text_bytes = 15;
+constexpr std::uint64_t allocation_bytes = 24;
+constexpr std::size_t max_request_bytes = 128;
+constexpr std::size_t max_media_bytes = 128;
+
+refused refuse(error_code code, std::string reason)
+{
+    return refused{code, std::move(reason)};
+}
+
+/// Returns the result with a body that is small enough to be kept.
+settle bounded(const settle& result, byte_count max_body)
+{
+    settle out = result;
+    if (out.body.size() > max_body.get())
+    {
+        out.body.clear();
+        out.body_kept = false;
+    }
+    out.media_type.resize(std::min(out.media_type.size(), max_media_bytes));
+    return out;
+}
+
+} // namespace
+
+std::string_view claim_table::entry::request() const noexcept
+{
+    return std::string_view(texts).substr(0, request_bytes);
+}
+
+settle claim_table::entry::result() const
+{
+    const std::string_view rest = std::string_view(texts).substr(request_bytes);
+    return {status,
+            std::string(rest.substr(0, media_bytes)),
+            std::string(rest.substr(media_bytes)),
+            body_kept};
+}
+
+void claim_table::entry::set_texts(std::string_view request_text,
+                                   const settle& result)
+{
+    std::string joined;
+    joined.reserve(request_text.size() + result.media_type.size() +
+                   result.body.size());
+    joined += request_text;
+    joined += result.media_type;
+    joined += result.body;
+    request_bytes = static_cast<std::uint16_t>(request_text.size());
+    media_bytes = static_cast<std::uint16_t>(result.media_type.size());
+    status = result.status;
+    body_kept = result.body_kept;
+    texts = std::move(joined);
+}
+
+claim_table::claim_table(const claim_limits& limits)
+    : m_limits(limits)
+{
+}
+
+claim_answer claim_table::apply(std::uint64_t index,
+                                const claim_command& command)
+{
+    if (index <= m_applied_index)
+    {
+        return refuse(error_code::conflict, "was applied before");
+    }
+    m_applied_index = index;
+    if (command.request.get().size() > max_request_bytes)
+    {
+        return refuse(error_code::invalid_argument, "request id is too long");
+    }
+    advance_clock(command.at_ms);
+    const auto found = m_entries.find(command.key);
+    entry* known = found == m_entries.end() ? nullptr : &found->second;
+    return std::visit(
+        [&](const auto& action)
+        {
+            return on(command, known, action);
+        },
+        command.action);
+}
+
+claim_answer
+claim_table::on(const claim_command& command, entry* known, const claim& action)
+{
+    if (known == nullptr)
+    {
+        return grant(command, action.fingerprint);
+    }
+    const bool same_request = known->request() == command.request.get();
+    if (known->phase == state::released)
+    {
+        if (same_request)
+        {
+            return refuse(error_code::conflict, "the request was released");
+        }
+        erase(command.key);
+        return grant(command, action.fingerprint);
+    }
+    if (known->fingerprint != action.fingerprint)
+    {
+        return refuse(error_code::invalid_argument,
+                      "the key was used with another request");
+    }
+    if (known->phase == state::in_progress)
+    {
+        return same_request
+                   ? claim_answer(granted{})
+                   : in_progress{request_id(std::string(known->request()))};
+    }
+    return finished{request_id(std::string(known->request())),
+                    known->phase == state::complete,
+                    known->result()};
+}
+
+claim_answer claim_table::on(const claim_command& command,
+                             entry* known,
+                             const settle& action)
+{
+    if (known == nullptr || known->request() != command.request.get())
+    {
+        return refuse(error_code::not_found, "the request holds no claim");
+    }
+    if (known->phase == state::released)
+    {
+        return refuse(error_code::conflict, "the request was released");
+    }
+    if (known->phase == state::complete)
+    {
+        return done{};
+    }
+    m_used -= cost_of(*known);
+    known->set_texts(command.request.get(), bounded(action, m_limits.max_body));
+    if (m_used + cost_of(*known) > m_limits.capacity.get())
+    {
+        known->set_texts(command.request.get(), bounded(action, byte_count(0)));
+    }
+    m_used += cost_of(*known);
+    known->phase = state::complete;
+    schedule(command.key, *known);
+    return done{};
+}
+
+claim_answer
+claim_table::on(const claim_command& command, entry* known, const release&)
+{
+    if (known == nullptr || known->request() != command.request.get())
+    {
+        return refuse(error_code::not_found, "the request holds no claim");
+    }
+    if (known->phase == state::released)
+    {
+        return done{};
+    }
+    if (known->phase != state::in_progress)
+    {
+        return refuse(error_code::conflict, "the request has an outcome");
+    }
+    known->phase = state::released;
+    return done{};
+}
+
+claim_answer claim_table::grant(const claim_command& command,
+                                std::uint64_t fingerprint)
+{
+    entry value;
+    value.fingerprint = fingerprint;
+    value.set_texts(command.request.get(), {});
+    if (m_used + cost_of(value) > m_limits.capacity.get())
+    {
+        return refuse(error_code::overloaded, "the claims group is full");
+    }
+    m_used += cost_of(value);
+    entry& stored =
+        m_entries.insert_or_assign(command.key, std::move(value)).first->second;
+    schedule(command.key, stored);
+    return granted{};
+}
+
+void claim_table::advance_clock(std::uint64_t at_ms)
+{
+    m_clock_ms = std::max(m_clock_ms, at_ms);
+    expire(m_running);
+    expire(m_retained);
+}
+
+void claim_table::expire(std::deque<due>& queue)
+{
+    while (!queue.empty() && queue.front().at_ms <= m_clock_ms)
+    {
+        const due first = queue.front();
+        queue.pop_front();
+        const auto found = m_entries.find(first.key);
+        // An entry that was scheduled anew since is due by a later item.
+        if (found != m_entries.end() && found->second.due_ms == first.at_ms)
+        {
+            pass_due(first.key);
+        }
+    }
+}
+
+void claim_table::pass_due(const claim_key& key)
+{
+    entry& of = m_entries.at(key);
+    if (of.phase != state::in_progress)
+    {
+        erase(key);
+        return;
+    }
+    of.phase = state::unknown;
+    schedule(key, of);
+}
+
+void claim_table::schedule(const claim_key& key, entry& of)
+{
+    const bool running = of.phase == state::in_progress;
+    const milliseconds period =
+        running ? m_limits.longest_run : m_limits.retention;
+    const std::uint64_t due_ms =
+        m_clock_ms + static_cast<std::uint64_t>(period.count());
+    if (of.due_ms == due_ms)
+    {
+        return;
+    }
+    of.due_ms = due_ms;
+    (running ? m_running : m_retained).push_back({of.due_ms, key});
+}
+
+void claim_table::erase(const claim_key& key)
+{
+    const auto found = m_entries.find(key);
+    m_used -= cost_of(found->second);
+    m_entries.erase(found);
+}
+
+std::uint64_t claim_table::cost_of(const entry& value)
+{
+    const std::uint64_t size = value.texts.size();
+    return entry_bytes +
+           (size > inline_text_bytes ? size + allocation_bytes : 0);
+}
+
+} // namespace limpet::claims
--- /dev/null
+++ b/libs/claims/test/claim_table_test.cpp
@@ -0,0 +1,313 @@
+#include <limpet/base/random.hpp>
+#include <limpet/claims/claim_table.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace limpet::claims
+{
+
+struct claims_fixture
+{
+    claim_answer
+    send(const std::string& request, claim_action action, std::uint64_t key = 1)
+    {
+        return table.apply(++index,
+                           {{key, key}, request_id(request), now, action});
+    }
+
+    claim_limits limits{milliseconds(1000),
+                        milliseconds(100),
+                        milliseconds(30),
+                        byte_count(64),
+                        byte_count(2000)};
+    claim_table table{limits};
+    std::uint64_t index = 0;
+    std::uint64_t now = 1;
+};
+
+BOOST_FIXTURE_TEST_SUITE(claims_table, claims_fixture)
+
+BOOST_AUTO_TEST_CASE(claim_in_each_state_gets_its_answer)
+{
+    const settle result{200, "text/plain", "booked", true};
+    enum step_kind
+    {
+        ask,
+        settle_it,
+        give_up,
+        wait_longest_run,
+        wait_retention,
+        restart,
+    };
+    struct
+    {
+        std::string name;
+        std::vector<step_kind> before;
+        std::string request;
+        std::uint64_t fingerprint;
+        claim_answer answer;
+    } const cases[] = {
+        {"fresh", {}, "r2", 7, granted{}},
+        {"resent by its holder", {ask}, "r1", 7, granted{}},
+        {"held", {ask}, "r2", 7, in_progress{request_id("r1")}},
+        {"held, after a restart",
+         {ask, restart},
+         "r2",
+         7,
+         in_progress{request_id("r1")}},
+        {"finished",
+         {ask, settle_it},
+         "r2",
+         7,
+         finished{request_id("r1"), true, result}},
+        {"finished, after a restart",
+         {ask, settle_it, restart},
+         "r2",
+         7,
+         finished{request_id("r1"), true, result}},
+        {"finished, asked by its holder",
+         {ask, settle_it},
+         "r1",
+         7,
+         finished{request_id("r1"), true, result}},
+        {"never settled",
+         {ask, wait_longest_run},
+         "r2",
+         7,
+         finished{request_id("r1"), false, {}}},
+        {"never settled, its holder asks late",
+         {ask, wait_longest_run},
+         "r1",
+         7,
+         finished{request_id("r1"), false, {}}},
+        {"settled late",
+         {ask, wait_longest_run, settle_it},
+         "r2",
+         7,
+         finished{request_id("r1"), true, result}},
+        {"released", {ask, give_up}, "r2", 7, granted{}},
+        {"released, another request", {ask, give_up}, "r2", 8, granted{}},
+        {"released, late duplicate of the holder",
+         {ask, give_up, restart},
+         "r1",
+         7,
+         refused{error_code::conflict, "the request was released"}},
+        {"another request under the key",
+         {ask},
+         "r2",
+         8,
+         refused{error_code::invalid_argument,
+                 "the key was used with another request"}},
+        {"retention passed",
+         {ask, settle_it, wait_retention},
+         "r2",
+         8,
+         granted{}},
+        {"unknown outcome, retention passed",
+         {ask, wait_longest_run, wait_retention},
+         "r2",
+         8,
+         granted{}},
+    };
+    for (const auto& each : cases)
+    {
+        table = claim_table(limits);
+        for (const step_kind step : each.before)
+        {
+            switch (step)
+            {
+            case ask:
+                BOOST_REQUIRE(
+                    (send("r1", claim{7}) == claim_answer(granted{})));
+                break;
+            case settle_it:
+                BOOST_REQUIRE((send("r1", result) == claim_answer(done{})));
+                break;
+            case give_up:
+                BOOST_REQUIRE((send("r1", release{}) == claim_answer(done{})));
+                break;
+            case wait_longest_run:
+                now += 100;
+                send("x", release{}, 99);
+                break;
+            case wait_retention:
+                now += 1000;
+                break;
+            case restart:
+                table =
+                    value_of(claim_table::restore(table.snapshot(), limits));
+                break;
+            }
+        }
+        BOOST_TEST((send(each.request, claim{each.fingerprint}) == each.answer),
+                   each.name);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(settle_and_release_without_the_claim_are_refused)
+{
+    const auto is_refused = [](const claim_answer& answer)
+    {
+        return std::holds_alternative<refused>(answer);
+    };
+    BOOST_TEST(is_refused(send("r1", settle{})));
+    BOOST_TEST(is_refused(send("r1", release{})));
+    send("r1", claim{7});
+    BOOST_TEST(is_refused(send("r2", settle{})));
+    BOOST_TEST(is_refused(send("r2", release{})));
+    send("r1", settle{});
+    BOOST_TEST(is_refused(send("r1", release{})));
+    BOOST_TEST((send("r1", settle{500, "", "", true}) == claim_answer(done{})));
+    const auto first = std::get<finished>(send("r2", claim{7}));
+    BOOST_TEST(first.result.status == 0);
+}
+
+BOOST_AUTO_TEST_CASE(full_table_refuses_new_claims_and_keeps_the_old)
+{
+    std::uint64_t key = 0;
+    while (send("r", claim{7}, ++key) == claim_answer(granted{}))
+    {
+    }
+    BOOST_TEST(key > 5U);
+    const auto refusal = std::get<refused>(send("r", claim{7}, key));
+    BOOST_TEST((refusal.code == error_code::overloaded));
+    for (std::uint64_t held = 1; held < key; ++held)
+    {
+        BOOST_TEST((send("r2", claim{7}, held) ==
+                    claim_answer(in_progress{request_id("r")})));
+        const settle large{200, "", std::string(64, 'b'), true};
+        BOOST_TEST((send("r", large, held) == claim_answer(done{})));
+        BOOST_TEST(table.used().get() <= limits.capacity.get());
+    }
+    const auto last = std::get<finished>(send("r2", claim{7}, key - 1));
+    BOOST_TEST(last.known);
+    BOOST_TEST(!last.result.body_kept);
+}
+
+BOOST_AUTO_TEST_CASE(body_over_the_bound_leaves_its_status)
+{
+    send("r1", claim{7});
+    send("r1", settle{201, "text/plain", std::string(65, 'b'), true});
+    const auto recorded = std::get<finished>(send("r2", claim{7}));
+    BOOST_TEST(recorded.result.status == 201);
+    BOOST_TEST(recorded.result.body.empty());
+    BOOST_TEST(!recorded.result.body_kept);
+}
+
+BOOST_AUTO_TEST_CASE(commands_and_answers_survive_the_codec)
+{
+    const settle result{200, "text/plain", std::string("a\0b", 3), true};
+    const claim_action actions[] = {claim{9}, result, release{}};
+    for (const claim_action& action : actions)
+    {
+        const claim_command command{{1, 2}, request_id("r"), 5, action};
+        const std::string bytes = encode(command);
+        BOOST_TEST((value_of(decode_command(bytes)) == command));
+        for (std::size_t size = 0; size < bytes.size(); ++size)
+        {
+            BOOST_TEST(!is_ok(decode_command(bytes.substr(0, size))));
+        }
+    }
+    const claim_answer answers[] = {granted{},
+                                    in_progress{request_id("r")},
+                                    finished{request_id("r"), true, result},
+                                    finished{request_id("r"), false, {}},
+                                    done{},
+                                    refused{error_code::overloaded, "full"}};
+    for (const claim_answer& answer : answers)
+    {
+        BOOST_TEST((value_of(decode_answer(encode(answer))) == answer));
+    }
+}
+
+// Callers resend keys through several entries; commands are lost, duplicated
+// and reordered; entries stop at any point; one replica restarts.
+BOOST_AUTO_TEST_CASE(random_interleavings_never_run_a_key_twice)
+{
+    struct exchange
+    {
+        std::uint64_t key;
+        bool running = false;
+        bool over = false;
+        std::uint64_t sent_ms = 0;
+    };
+    std::size_t keys_run = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed)
+    {
+        random_source random(seed);
+        limits.capacity = byte_count(seed % 2 == 0 ? 1500 : 100000);
+        claim_table replica(limits);
+        claim_table twin(limits);
+        std::map<std::string, exchange> exchanges;
+        std::vector<claim_command> in_flight;
+        std::map<std::uint64_t, std::uint64_t> last_run_ms;
+        std::uint64_t clock = 1;
+        for (std::uint64_t step = 1; step <= 200; ++step)
+        {
+            clock += random.below(random.chance(0.02) ? 200 : 5);
+            const std::string fresh = "r" + std::to_string(step);
+            exchange& started = exchanges[fresh];
+            started.key = random.below(12);
+            started.sent_ms = clock;
+            in_flight.push_back({{started.key, started.key},
+                                 request_id(fresh),
+                                 clock,
+                                 claim{started.key}});
+            const std::size_t chosen = random.below(in_flight.size());
+            claim_command command = in_flight[chosen];
+            command.at_ms = clock - random.below(2);
+            if (random.chance(0.7))
+            {
+                in_flight.erase(in_flight.begin() +
+                                static_cast<std::ptrdiff_t>(chosen));
+            }
+            const claim_answer answer = replica.apply(step, command);
+            const claim_answer again =
+                twin.apply(step, value_of(decode_command(encode(command))));
+            BOOST_REQUIRE((answer == again));
+            if (random.chance(0.05))
+            {
+                twin = value_of(claim_table::restore(twin.snapshot(), limits));
+                BOOST_REQUIRE(twin.snapshot() == replica.snapshot());
+            }
+            exchange& of = exchanges[command.request.get()];
+            const bool timely =
+                clock - of.sent_ms <
+                static_cast<std::uint64_t>(limits.dispatch_window.count());
+            if (!std::holds_alternative<granted>(answer) || of.running ||
+                of.over || random.chance(0.2))
+            {
+                continue;
+            }
+            if (!timely || random.chance(0.3))
+            {
+                of.over = true;
+                in_flight.push_back(
+                    {command.key, command.request, clock, release{}});
+                continue;
+            }
+            of.running = true;
+            const auto run = last_run_ms.find(of.key);
+            const auto retention =
+                static_cast<std::uint64_t>(limits.retention.count());
+            BOOST_REQUIRE_MESSAGE(run == last_run_ms.end() ||
+                                      clock - run->second >= retention,
+                                  "seed " << seed << " step " << step);
+            last_run_ms[of.key] = clock;
+            in_flight.push_back({command.key,
+                                 command.request,
+                                 clock,
+                                 settle{200, "", "", true}});
+        }
+        keys_run += last_run_ms.size();
+    }
+    BOOST_TEST(keys_run > 1000U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace limpet::claims
