Distribute the configuration from control to the routers

A change must be in force at every router within seconds, reach a data centre that was cut off once it is back, and never be undone by an older copy.

One relay router in each data centre follows a control replica and the others follow the relay; each router also asks control itself now and then, so that a relay that answers but gets nothing cannot hold them back. Changes carry the position that they follow, with a digest over all changes before it.

--- a/libs/claims/generated/claims_generated.hpp
+++ b/libs/claims/src/claims_generated.h
@@ -281,7 +281,6 @@
   uint64_t low_;
 
  public:
-  struct Traits;
   Key()
       : high_(0),
         low_(0) {
@@ -299,13 +298,8 @@
 };
 FLATBUFFERS_STRUCT_END(Key, 16);
 
-struct Key::Traits {
-  using type = Key;
-};
-
 struct Claim FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ClaimBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FINGERPRINT = 4
   };
@@ -345,14 +339,8 @@
   return builder_.Finish();
 }
 
-struct Claim::Traits {
-  using type = Claim;
-  static auto constexpr Create = CreateClaim;
-};
-
 struct Settle FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SettleBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_STATUS = 4,
     VT_MEDIA_TYPE = 6,
@@ -424,11 +412,6 @@
   return builder_.Finish();
 }
 
-struct Settle::Traits {
-  using type = Settle;
-  static auto constexpr Create = CreateSettle;
-};
-
 inline flatbuffers::Offset<Settle> CreateSettleDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint16_t status = 0,
@@ -447,7 +430,6 @@
 
 struct Release FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ReleaseBuilder Builder;
-  struct Traits;
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            verifier.EndTable();
@@ -475,14 +457,8 @@
   return builder_.Finish();
 }
 
-struct Release::Traits {
-  using type = Release;
-  static auto constexpr Create = CreateRelease;
-};
-
 struct Command FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CommandBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_KEY = 4,
     VT_REQUEST = 6,
@@ -589,11 +565,6 @@
   return builder_.Finish();
 }
 
-struct Command::Traits {
-  using type = Command;
-  static auto constexpr Create = CreateCommand;
-};
-
 inline flatbuffers::Offset<Command> CreateCommandDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const limpet::claims::fb::Key *key = nullptr,
@@ -613,7 +584,6 @@
 
 struct Granted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef GrantedBuilder Builder;
-  struct Traits;
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            verifier.EndTable();
@@ -641,14 +611,8 @@
   return builder_.Finish();
 }
 
-struct Granted::Traits {
-  using type = Granted;
-  static auto constexpr Create = CreateGranted;
-};
-
 struct InProgress FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef InProgressBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REQUEST = 4
   };
@@ -690,11 +654,6 @@
   return builder_.Finish();
 }
 
-struct InProgress::Traits {
-  using type = InProgress;
-  static auto constexpr Create = CreateInProgress;
-};
-
 inline flatbuffers::Offset<InProgress> CreateInProgressDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *request = nullptr) {
@@ -706,7 +665,6 @@
 
 struct Finished FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FinishedBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REQUEST = 4,
     VT_KIND = 6,
@@ -769,11 +727,6 @@
   return builder_.Finish();
 }
 
-struct Finished::Traits {
-  using type = Finished;
-  static auto constexpr Create = CreateFinished;
-};
-
 inline flatbuffers::Offset<Finished> CreateFinishedDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *request = nullptr,
@@ -789,7 +742,6 @@
 
 struct Done FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef DoneBuilder Builder;
-  struct Traits;
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            verifier.EndTable();
@@ -817,14 +769,8 @@
   return builder_.Finish();
 }
 
-struct Done::Traits {
-  using type = Done;
-  static auto constexpr Create = CreateDone;
-};
-
 struct Refused FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RefusedBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CODE = 4,
     VT_REASON = 6
@@ -875,11 +821,6 @@
   return builder_.Finish();
 }
 
-struct Refused::Traits {
-  using type = Refused;
-  static auto constexpr Create = CreateRefused;
-};
-
 inline flatbuffers::Offset<Refused> CreateRefusedDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t code = 0,
@@ -893,7 +834,6 @@
 
 struct Answer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef AnswerBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REPLY_TYPE = 4,
     VT_REPLY = 6
@@ -981,14 +921,8 @@
   return builder_.Finish();
 }
 
-struct Answer::Traits {
-  using type = Answer;
-  static auto constexpr Create = CreateAnswer;
-};
-
 struct Entry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EntryBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_KEY = 4,
     VT_FINGERPRINT = 6,
@@ -1092,11 +1026,6 @@
   return builder_.Finish();
 }
 
-struct Entry::Traits {
-  using type = Entry;
-  static auto constexpr Create = CreateEntry;
-};
-
 inline flatbuffers::Offset<Entry> CreateEntryDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const limpet::claims::fb::Key *key = nullptr,
@@ -1120,7 +1049,6 @@
 
 struct SnapshotHeader FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SnapshotHeaderBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FORMAT = 4,
     VT_APPLIED_INDEX = 6,
@@ -1190,11 +1118,6 @@
   return builder_.Finish();
 }
 
-struct SnapshotHeader::Traits {
-  using type = SnapshotHeader;
-  static auto constexpr Create = CreateSnapshotHeader;
-};
-
 inline bool VerifyAction(flatbuffers::Verifier &verifier, const void *obj, Action type) {
   switch (type) {
     case Action::NONE: {
--- a/libs/claims/src/codec.hpp
+++ b/libs/claims/src/codec.hpp
@@ -3,9 +3,10 @@
 
 #pragma once
 
+#include "claims_generated.h"
+
 #include <limpet/claims/claim_command.hpp>
 
-#include <claims_generated.hpp>
 #include <string>
 #include <string_view>
 
--- /dev/null
+++ b/libs/config/include/limpet/config/distribution_node.hpp
@@ -0,0 +1,155 @@
+/// \file
+/// A router's part in the distribution of the configuration.
+
+#pragma once
+
+#include <limpet/base/random.hpp>
+#include <limpet/base/units.hpp>
+#include <limpet/config/config_log.hpp>
+#include <limpet/config/config_publisher.hpp>
+#include <limpet/config/distribution_message.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace limpet::config
+{
+
+/// Whom a router knows. Equal lists at all routers of a data centre make them
+/// agree on the relay; while they differ, there may be several relays, which
+/// costs bytes only.
+struct distribution_topology
+{
+    data_centre_id data_centre;
+    /// Live routers of the data centre, without this one.
+    std::vector<vm_id> peers;
+    /// Control replicas.
+    std::vector<vm_id> controls;
+};
+
+/// Configuration received since the last call, for the disk.
+struct adopted_changes
+{
+    /// The whole configuration if it was replaced; the changes follow it.
+    view_ptr whole;
+    /// Encoded changes in their order.
+    std::vector<std::string> updates;
+    /// Position before the first of the changes.
+    position before;
+};
+
+/// Follows the configuration: one router of a data centre, the relay, follows
+/// a control replica, and the others follow the relay. Any router passes over
+/// an upstream that is silent, and each asks control itself now and then.
+/// Revisions only rise. Pure; not thread-safe.
+class distribution_node
+{
+public:
+    distribution_node(vm_id self,
+                      const distribution_settings& settings,
+                      std::uint64_t seed);
+
+    /// Takes over the configuration from the disk. Call before the first
+    /// tick.
+    void restore(view_ptr stored);
+
+    /// Sets whom the router knows.
+    void set_topology(const distribution_topology& topology);
+
+    /// Handles a message of another VM.
+    std::vector<outgoing_message> receive(const vm_id& from,
+                                          const distribution_message& message,
+                                          time_point now);
+
+    /// Sends what is due. Call at least every 100 ms.
+    std::vector<outgoing_message> tick(time_point now);
+
+    /// Returns the configuration to serve, or null while there is none or
+    /// while the first answers are waited for.
+    view_ptr view() const;
+
+    /// Returns what is to be written to the disk.
+    adopted_changes take_adopted();
+
+    /// Returns whether this router is the relay of its data centre.
+    bool is_relay(time_point now) const;
+
+    /// Returns the revisions in force in the data centre, as far as known
+    /// here.
+    force_report report(time_point now) const;
+
+    /// Returns the last position that was refused as not of the history in
+    /// force, for an operator to look at.
+    const std::optional<position>& refused() const noexcept
+    {
+        return m_refused;
+    }
+
+private:
+    struct partial_snapshot
+    {
+        vm_id from;
+        position of;
+        std::uint32_t count = 0;
+        std::uint32_t received = 0;
+        std::string bytes;
+        time_point asked;
+    };
+
+    void on(const vm_id& from, const sync_message& message, time_point now);
+    void on(const vm_id& from, const updates_message& message, time_point now);
+    void on(const vm_id& from, const part_request& message, time_point now);
+    void on(const vm_id& from, const snapshot_part& message, time_point now);
+
+    void start(time_point now);
+    void sync_with(const vm_id& to, bool ask, bool subscribe, time_point now);
+    void sync_upstream(time_point now);
+    void sync_control(time_point now);
+    void send_reports(time_point now);
+    void retry_part(time_point now);
+    void ask_part(const vm_id& from, time_point now);
+    void finish_snapshot(time_point now);
+    void handle(adoption result,
+                const vm_id& from,
+                const position& received,
+                time_point now);
+    void after_change(const vm_id& source, time_point now);
+    void note_answer(const vm_id& from, time_point now);
+    std::optional<vm_id> upstream(time_point now) const;
+    std::optional<vm_id> control(std::uint64_t first, time_point now) const;
+    bool is_passed_over(const vm_id& vm, time_point now) const;
+    served_config served() const noexcept;
+    std::optional<position> have() const;
+    std::vector<outgoing_message> take_output();
+
+    vm_id m_self;
+    distribution_settings m_settings;
+    random_source m_random;
+    distribution_topology m_topology;
+    /// Routers of the data centre in the order in which they become relay.
+    std::vector<vm_id> m_ranks;
+    config_log m_log;
+    config_publisher m_publisher;
+    adopted_changes m_adopted;
+    std::optional<position> m_refused;
+    std::optional<partial_snapshot> m_partial;
+    std::set<vm_id> m_awaited;
+    /// The control replica that was asked last, besides the upstream.
+    std::optional<vm_id> m_direct;
+    bool m_started = false;
+    bool m_serving = false;
+    time_point m_start;
+    time_point m_next_sync;
+    time_point m_next_direct;
+    time_point m_next_report;
+    std::optional<force_report> m_reported;
+    /// When an unanswered sync was sent to an upstream.
+    std::map<vm_id, time_point> m_unanswered;
+    std::map<vm_id, time_point> m_passed_over_until;
+    std::vector<outgoing_message> m_out;
+};
+
+} // namespace limpet::config
--- /dev/null
+++ b/libs/config/include/limpet/config/testing/fake_fleet.hpp
@@ -0,0 +1,196 @@
+/// \file
+/// Control replicas and routers over an in-memory network with a fake clock,
+/// for tests and benchmarks of the distribution.
+
+#pragma once
+
+#include <limpet/base/random.hpp>
+#include <limpet/config/distribution_node.hpp>
+#include <limpet/config/force_table.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace limpet::config::testing
+{
+
+/// Shape of the fleet and faults of its network.
+struct fleet_options
+{
+    std::uint64_t seed = 1;
+    std::size_t controls = 3;
+    std::size_t data_centres = 4;
+    std::size_t routers_per_data_centre = 2;
+    /// Routers above the product, spread over the first data centres.
+    std::size_t extra_routers = 0;
+    duration delay_within_data_centre = milliseconds(1);
+    duration delay_between_data_centres = milliseconds(2);
+    /// Data centres of one region; others are farther away.
+    std::size_t data_centres_per_region = 4;
+    duration delay_between_regions = milliseconds(2);
+    /// Longest time by which a control replica applies later than another.
+    duration apply_delay = milliseconds(20);
+    double loss = 0;
+    double duplication = 0;
+    /// Part of the messages that take up to ten times the delay.
+    double late = 0;
+    distribution_settings settings;
+};
+
+/// Runs real nodes, publishers and state machines. All messages pass through
+/// the codec; their bytes are counted with the frame's header.
+class fake_fleet
+{
+public:
+    /// Returns whether a message of the first VM reaches the second.
+    using link_filter = std::function<bool(const vm_id&, const vm_id&)>;
+
+    explicit fake_fleet(const fleet_options& options);
+
+    /// Applies the command at all control replicas that run, each after a
+    /// delay of its own, and returns the answer.
+    command_result submit(const command& order);
+
+    /// Starts all state machines from this one. Call before the first run.
+    void load(const state_machine& state);
+
+    /// Advances the time.
+    void run(duration length);
+
+    /// Sets which links work; all of them by default.
+    void set_links(link_filter works)
+    {
+        m_links = std::move(works);
+    }
+
+    /// Stops a router; its data centre's others learn of it after the delay.
+    void stop_router(std::size_t index, duration noticed_after);
+
+    /// Starts a stopped router with or without what it had on its disk.
+    void start_router(std::size_t index, bool with_disk);
+
+    std::size_t size() const noexcept
+    {
+        return m_routers.size();
+    }
+
+    const vm_id& name_of(std::size_t index) const
+    {
+        return m_routers[index].vm;
+    }
+
+    const data_centre_id& data_centre_of(const vm_id& vm) const
+    {
+        return m_data_centre_of.at(vm);
+    }
+
+    static vm_id control_name(std::size_t index);
+
+    /// Returns the revision that the router serves, 0 if none or stopped.
+    revision revision_of(std::size_t index) const;
+
+    /// Returns the router's node, or null if it is stopped.
+    const distribution_node* node_of(std::size_t index) const
+    {
+        return m_routers[index].node.get();
+    }
+
+    /// Returns the state at the control replica that applies first.
+    const state_machine& state() const
+    {
+        return m_latest;
+    }
+
+    /// Returns the time from the submission of the revision until all running
+    /// routers served it, or nothing if they do not yet.
+    std::optional<duration> in_force_after(revision number) const;
+
+    /// Returns what the control replica knows of the revisions in force.
+    force_summary summary_at(std::size_t index) const;
+
+    /// Returns the bytes that a VM sent and received since the start.
+    std::uint64_t sent_bytes(const vm_id& vm) const;
+    std::uint64_t received_bytes(const vm_id& vm) const;
+
+    time_point now() const noexcept
+    {
+        return m_now;
+    }
+
+    /// Number of times that a router's position did not rise when it changed,
+    /// over all its starts with its disk. Must stay 0.
+    std::size_t reverts() const noexcept
+    {
+        return m_reverts;
+    }
+
+private:
+    struct router
+    {
+        vm_id vm;
+        data_centre_id data_centre;
+        std::unique_ptr<distribution_node> node;
+        view_ptr disk;
+        std::optional<position> last;
+        std::uint64_t starts = 0;
+    };
+    struct control
+    {
+        std::unique_ptr<state_machine> state;
+        config_publisher publisher;
+        force_table force;
+    };
+    struct event
+    {
+        time_point at;
+        std::uint64_t order = 0;
+        std::function<void()> run;
+
+        bool operator<(const event& other) const
+        {
+            return std::pair(other.at, other.order) < std::pair(at, order);
+        }
+    };
+    struct traffic
+    {
+        std::uint64_t sent = 0;
+        std::uint64_t received = 0;
+    };
+
+    void at(time_point when, std::function<void()> run);
+    void send(const vm_id& from, std::vector<outgoing_message> messages);
+    void deliver(const vm_id& from, const vm_id& to, const std::string& bytes);
+    void deliver_to_control(std::size_t index,
+                            const vm_id& from,
+                            const distribution_message& message);
+    duration delay_of(const vm_id& from, const vm_id& to);
+    std::size_t region_of(const vm_id& vm) const;
+    void tick();
+    void observe(router& of);
+    void update_topology();
+
+    fleet_options m_options;
+    random_source m_random;
+    link_filter m_links;
+    time_point m_now;
+    std::uint64_t m_events_made = 0;
+    std::priority_queue<event> m_events;
+    std::vector<router> m_routers;
+    std::vector<control> m_controls;
+    std::map<vm_id, std::size_t> m_router_index;
+    std::map<vm_id, std::size_t> m_control_index;
+    std::map<vm_id, data_centre_id> m_data_centre_of;
+    std::map<vm_id, std::size_t> m_region_of;
+    state_machine m_latest;
+    std::uint64_t m_log_index = 0;
+    std::map<revision, time_point> m_submitted;
+    std::map<revision, time_point> m_everywhere;
+    std::map<vm_id, traffic> m_traffic;
+    std::size_t m_reverts = 0;
+};
+
+} // namespace limpet::config::testing
--- /dev/null
+++ b/libs/config/src/config_log.cpp
@@ -0,0 +1,115 @@
+#include <limpet/config/config_log.hpp>
+
+namespace limpet::config
+{
+
+namespace
+{
+
+/// Decodes the changes that follow the position and checks that they are
+/// consecutive. Changes up to the position are checked and left out.
+outcome<std::vector<history_entry>>
+decode_entries(position before,
+               const std::vector<std::string>& entries,
+               const position& in_force)
+{
+    std::vector<history_entry> out;
+    for (const std::string& encoded : entries)
+    {
+        outcome<update> change = decode_update(encoded);
+        if (!is_ok(change))
+        {
+            return error_of(change);
+        }
+        if (value_of(change).number.get() != before.number.get() + 1)
+        {
+            return error{error_code::malformed, "updates are not consecutive"};
+        }
+        history_entry entry{value_of(std::move(change)), encoded, before};
+        before = entry.after();
+        const bool known = before.number <= in_force.number;
+        if (before.number == in_force.number &&
+            before.digest != in_force.digest)
+        {
+            return error{error_code::conflict, "updates of another history"};
+        }
+        if (!known)
+        {
+            out.push_back(std::move(entry));
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+adoption config_log::adopt(const position& before,
+                           const std::vector<std::string>& entries)
+{
+    if (m_view == nullptr)
+    {
+        return adoption::gap;
+    }
+    const position in_force = m_view->where();
+    if (before.group != in_force.group ||
+        before.generation < in_force.generation)
+    {
+        return adoption::refused;
+    }
+    if (before.generation > in_force.generation ||
+        before.number > in_force.number)
+    {
+        return adoption::gap;
+    }
+    if (before.number == in_force.number && before.digest != in_force.digest)
+    {
+        return adoption::refused;
+    }
+    outcome<std::vector<history_entry>> decoded =
+        decode_entries(before, entries, in_force);
+    if (!is_ok(decoded))
+    {
+        return error_of(decoded).code == error_code::conflict
+                   ? adoption::refused
+                   : adoption::malformed;
+    }
+    std::vector<history_entry>& fresh = value_of(decoded);
+    if (fresh.empty())
+    {
+        return adoption::known;
+    }
+    auto next = std::make_shared<config_view>(*m_view);
+    for (history_entry& each : fresh)
+    {
+        next->apply(each.change, each.after());
+        m_history.push_back(std::move(each));
+    }
+    while (m_history.size() > m_max_updates)
+    {
+        m_history.pop_front();
+    }
+    m_view = std::move(next);
+    return adoption::adopted;
+}
+
+adoption config_log::adopt(view_ptr received)
+{
+    if (m_view != nullptr)
+    {
+        switch (compare(received->where(), m_view->where()))
+        {
+        case position_order::same:
+        case position_order::older:
+            return adoption::known;
+        case position_order::diverged:
+            return adoption::refused;
+        case position_order::newer:
+            break;
+        }
+    }
+    m_view = std::move(received);
+    m_history.clear();
+    return adoption::adopted;
+}
+
+} // namespace limpet::config
