--- a/libs/config/include/limpet/config/object_json.hpp
+++ b/libs/config/include/limpet/config/object_json.hpp
@@ -16,6 +16,9 @@
 /// Returns the object with its kind and id. Equal objects give equal texts.
 boost::json::value to_json(const object& value);
 
+/// Returns the parameters as in a template's document.
+boost::json::object parameters_json(const parameters& values);
+
 /// Parses an object. The path names it in errors; unknown fields are refused.
 outcome<object> parse_object(const boost::json::value& document,
                              const std::string& path);
--- a/libs/config/src/object_json.cpp
+++ b/libs/config/src/object_json.cpp
@@ -550,6 +550,11 @@
     return out;
 }
 
+boost::json::object parameters_json(const parameters& values)
+{
+    return write_fields(values);
+}
+
 outcome<object> parse_object(const boost::json::value& document,
                              const std::string& path)
 {
--- /dev/null
+++ b/tools/limpetctl/exit_code.hpp
@@ -0,0 +1,20 @@
+/// \file
+/// Exit codes of limpetctl, stable for scripts.
+
+#pragma once
+
+namespace limpet::ctl
+{
+
+enum class exit_code
+{
+    success = 0,
+    failed = 1,       ///< No answer, or one that cannot be understood.
+    usage = 2,        ///< Wrong arguments or an unreadable file.
+    refused = 3,      ///< The command is invalid or not allowed.
+    conflict = 4,     ///< Someone else changed the object first.
+    not_in_force = 5, ///< Accepted, but not in force everywhere in time.
+    different = 6,    ///< diff found a difference.
+};
+
+} // namespace limpet::ctl
--- a/tools/limpetctl/main.cpp
+++ b/tools/limpetctl/main.cpp
@@ -1,117 +1,199 @@
 /// \file
 /// limpetctl: submits operators' commands and shows the system's state.
 
-#include <limpet/base/settings_reader.hpp>
-#include <limpet/http/client.hpp>
-#include <limpet/http/endpoint.hpp>
+#include "commands.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/use_future.hpp>
 #include <gflags/gflags.h>
 
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
-DEFINE_string(control, "127.0.0.1:7300", "Operators' address of a control replica");
-DEFINE_string(router, "127.0.0.1:7200", "Backends' address of a router, for status");
-DEFINE_string(token, "", "Operator's token");
-DEFINE_uint64(timeout_ms, 10000, "Time for one request in milliseconds");
+DECLARE_bool(help);
+DECLARE_bool(helpshort);
 
-namespace {
+DEFINE_string(control,
+              "127.0.0.1:7300",
+              "Operators' addresses of control replicas, with commas between");
+DEFINE_string(
+    router,
+    "127.0.0.1:7200",
+    "Backends' addresses of routers, for status, with commas between");
+DEFINE_string(token, "", "Operator's token; other users may see it in ps");
+DEFINE_string(token_file, "", "File with the operator's token");
+DEFINE_uint64(timeout_ms, 10000, "Time for one request with its retries");
+DEFINE_uint64(wait_timeout_ms, 30000, "Longest wait of --wait");
+DEFINE_bool(wait, false, "Wait until the change is in force everywhere");
+DEFINE_bool(json, false, "Print JSON");
+DEFINE_string(data_centre, "", "Data centre of a backend server");
+DEFINE_int64(revision, -1, "Revision that the object must have");
+DEFINE_uint64(after, 0, "History after this revision");
+DEFINE_uint64(limit, 100, "Most changes to show");
+
+namespace
+{
 
 using namespace limpet;
+using ctl::exit_code;
+
+constexpr ctl::subcommand subcommands[] = {
+    {"apply",
+     "FILE",
+     "submit the commands or objects of a JSON file",
+     &ctl::run_apply},
+    {"diff", "FILE", "compare a file with what is accepted", &ctl::run_diff},
+    {"remove", "KIND ID", "remove an object", &ctl::run_remove},
+    {"in",
+     "KIND ID",
+     "take a data centre or backend server into service",
+     &ctl::run_in_service},
+    {"out",
+     "KIND ID",
+     "take a data centre or backend server out of service",
+     &ctl::run_out_of_service},
+    {"show",
+     "[KIND [ID]]",
+     "show objects with their revisions",
+     &ctl::run_show},
+    {"history", "", "show accepted changes", &ctl::run_history},
+    {"watch", "", "show changes as they are accepted", &ctl::run_watch},
+    {"in-force",
+     "",
+     "show the revision in force in each data centre",
+     &ctl::run_in_force},
+    {"status",
+     "",
+     "show routers, engines, owners and limits",
+     &ctl::run_status},
+    {"new-key", "", "make a key or token and its digest", &ctl::run_new_key},
+    {"digest",
+     "",
+     "print the digest of a key or token read from input",
+     &ctl::run_digest},
+};
+
+constexpr std::string_view flags_help = R"(
+Flags:
+  --control=IP:PORT,...   control replicas (127.0.0.1:7300)
+  --router=IP:PORT,...    routers, for status (127.0.0.1:7200)
+  --token_file=FILE       operator's token; also --token=TOKEN or the
+                          environment variable LIMPET_TOKEN
+  --wait                  with apply, remove, in, out: until in force
+                          everywhere, at most --wait_timeout_ms=30000
+  --revision=N            with remove, in, out: the revision that the object
+                          must have; by default the one it has now
+  --data_centre=ID        with in, out: where an unlisted backend server is
+  --after=N --limit=N     with history, watch: from which revision, how many
+  --json                  print JSON
+  --timeout_ms=10000      time for one request with its retries
+
+Kinds: partner, template, team, operator, data-centre, backend-server,
+service-route.
 
-constexpr int exit_failed = 1;
-constexpr int exit_usage = 2;
-constexpr std::size_t max_answer_bytes = 64 * 1024 * 1024;
+Exit codes: 0 done, 1 no or a broken answer, 2 wrong usage, 3 refused,
+4 conflict with another change, 5 accepted but not in force in time,
+6 diff found a difference.
+)";
 
-std::variant<http::response, http::request_failure>
-call(const std::string& address, http::request request)
+void print_usage(std::ostream& out)
 {
-    const auto endpoint = http::parse_endpoint(address);
-    if (!is_ok(endpoint))
+    out << "Usage: limpetctl [FLAGS] COMMAND [ARGUMENTS]\n\nCommands:\n";
+    for (const ctl::subcommand& each : subcommands)
     {
-        return http::request_failure{error_of(endpoint), false};
+        std::string line = "  " + std::string(each.name);
+        line += " ";
+        line += each.arguments;
+        constexpr std::size_t help_column = 24;
+        line.resize(std::max(line.size() + 2, help_column), ' ');
+        out << line << each.help << "\n";
     }
-    boost::asio::io_context context;
-    const auto client = http::client::create({});
-    auto answer = boost::asio::co_spawn(
-        context,
-        client->fetch(
-            value_of(endpoint),
-            std::move(request),
-            milliseconds(FLAGS_timeout_ms),
-            max_answer_bytes),
-        boost::asio::use_future);
-    context.run();
-    return answer.get();
+    out << flags_help;
 }
 
-int print(const std::variant<http::response, http::request_failure>& result)
+std::vector<std::string> split(const std::string& text)
 {
-    if (const auto* failure = std::get_if<http::request_failure>(&result))
+    std::vector<std::string> out;
+    std::istringstream stream(text);
+    for (std::string part; std::getline(stream, part, ',');)
     {
-        std::cerr << "limpetctl: " << failure->reason.message << "\n";
-        return exit_failed;
+        out.push_back(part);
     }
-    const auto& answer = std::get<http::response>(result);
-    std::cout << answer.body << "\n";
-    constexpr unsigned first_error = 300;
-    return answer.head.status < first_error ? 0 : exit_failed;
+    return out;
 }
 
-int apply(const std::string& file)
+/// Returns the operator's token from the flags or the environment.
+std::optional<std::string> read_token()
 {
-    const auto document = read_json_file(file);
-    if (!is_ok(document))
+    if (!FLAGS_token_file.empty())
     {
-        std::cerr << "limpetctl: " << error_of(document).message << "\n";
-        return exit_usage;
+        std::ifstream file(FLAGS_token_file);
+        std::string token;
+        return std::getline(file, token) ? std::optional(token) : std::nullopt;
     }
-    const boost::json::array commands = value_of(document).is_array()
-        ? value_of(document).get_array()
-        : boost::json::array{value_of(document)};
-    for (const boost::json::value& command : commands)
+    const char* environment = std::getenv("LIMPET_TOKEN");
+    const bool from_environment = FLAGS_token.empty() && environment != nullptr;
+    return from_environment ? std::string(environment) : FLAGS_token;
+}
+
+ctl::options read_options()
+{
+    ctl::options out;
+    out.wait = FLAGS_wait;
+    out.json = FLAGS_json;
+    out.wait_timeout = milliseconds(FLAGS_wait_timeout_ms);
+    out.data_centre = FLAGS_data_centre;
+    out.after = FLAGS_after;
+    out.limit = FLAGS_limit;
+    if (FLAGS_revision >= 0)
     {
-        http::request request;
-        request.method = "POST";
-        request.target = "/v1/commands";
-        request.headers.set("Authorization", "Bearer " + FLAGS_token);
-        request.body = boost::json::serialize(command);
-        const int failed = print(call(FLAGS_control, std::move(request)));
-        if (failed != 0)
-        {
-            return failed;
-        }
+        out.revision = static_cast<std::uint64_t>(FLAGS_revision);
     }
-    return 0;
+    return out;
 }
 
-int show_status()
+int finish(exit_code code)
 {
-    http::request request;
-    request.method = "GET";
-    request.target = "/v1/status";
-    return print(call(FLAGS_router, std::move(request)));
+    return static_cast<int>(code);
 }
 
 } // namespace
 
 int main(int argc, char* argv[])
 {
-    gflags::SetUsageMessage(
-        "submits operators' commands and shows the system's state.\n"
-        "Usage: limpetctl apply FILE | limpetctl status");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const std::string command = argc > 1 ? argv[1] : "";
-    if (command == "apply" && argc == 3)
+    gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+    if (FLAGS_help || FLAGS_helpshort)
+    {
+        print_usage(std::cout);
+        return finish(exit_code::success);
+    }
+    const std::string name = argc > 1 ? argv[1] : "";
+    const auto* chosen = std::find_if(std::begin(subcommands),
+                                      std::end(subcommands),
+                                      [&](const ctl::subcommand& each)
+                                      {
+                                          return each.name == name;
+                                      });
+    if (chosen == std::end(subcommands))
     {
-        return apply(argv[2]);
+        std::cerr << "limpetctl: "
+                  << (name.empty() ? "no command" : "no command " + name)
+                  << "\n\n";
+        print_usage(std::cerr);
+        return finish(exit_code::usage);
     }
-    if (command == "status" && argc == 2)
+    const std::optional<std::string> token = read_token();
+    if (!token)
     {
-        return show_status();
+        std::cerr << "limpetctl: " << FLAGS_token_file << ": cannot be read\n";
+        return finish(exit_code::usage);
     }
-    std::cerr << "limpetctl: usage: limpetctl apply FILE | limpetctl status\n";
-    return exit_usage;
+    const duration timeout = milliseconds(FLAGS_timeout_ms);
+    ctl::session with{
+        ctl::control_client({split(FLAGS_control), *token, timeout}),
+        ctl::control_client({split(FLAGS_router), *token, timeout}),
+        read_options(),
+        {argv + 2, argv + argc}};
+    return finish(chosen->run(with));
 }
--- /dev/null
+++ b/tools/limpetctl/read_commands.cpp
@@ -0,0 +1,298 @@
+/// \file
+/// Subcommands that show the state.
+
+#include "session.hpp"
+#include "table.hpp"
+
+#include <limpet/config/sha256.hpp>
+
+#include <iostream>
+#include <thread>
+
+namespace limpet::ctl
+{
+
+namespace
+{
+
+constexpr duration watch_period = seconds(1);
+constexpr std::size_t key_bytes = 32;
+
+/// Returns the field as text, empty if it is absent.
+std::string cell(const boost::json::value& row, std::string_view field)
+{
+    const auto* found = row.as_object().if_contains(field);
+    if (found == nullptr || found->is_null())
+    {
+        return "";
+    }
+    return found->is_string() ? std::string(found->get_string())
+                              : boost::json::serialize(*found);
+}
+
+/// Prints one row for each object of the list.
+void print_rows(const boost::json::value& list,
+                const std::vector<std::string>& fields)
+{
+    table out(fields);
+    for (const boost::json::value& each : list.as_array())
+    {
+        std::vector<std::string> row;
+        for (const std::string& field : fields)
+        {
+            row.push_back(cell(each, field));
+        }
+        out.add(std::move(row));
+    }
+    out.print(std::cout);
+}
+
+void print_json(const boost::json::value& value)
+{
+    std::cout << boost::json::serialize(value) << "\n";
+}
+
+/// Prints the fields of an object, one line each, nested ones indented.
+void print_fields(const boost::json::value& value, const std::string& indent)
+{
+    for (const auto& each : value.as_object())
+    {
+        std::cout << indent << std::string(each.key()) << ":";
+        if (each.value().is_object())
+        {
+            std::cout << "\n";
+            print_fields(each.value(), indent + "  ");
+            continue;
+        }
+        std::cout << " " << boost::json::serialize(each.value()) << "\n";
+    }
+}
+
+void print_objects(const boost::json::value& list)
+{
+    table out({"KIND", "ID", "REVISION", "CHANGED BY"});
+    for (const boost::json::value& each : list.as_array())
+    {
+        out.add({cell(each.at("object"), "kind"),
+                 cell(each.at("object"), "id"),
+                 cell(each, "revision"),
+                 cell(each, "author")});
+    }
+    out.print(std::cout);
+}
+
+std::string change_line(const boost::json::value& change)
+{
+    const auto* put = change.as_object().if_contains("put");
+    const boost::json::value& what =
+        put == nullptr ? change.at("remove") : *put;
+    std::string line = cell(change, "revision");
+    line += "  ";
+    line += cell(change, "author");
+    line += put == nullptr ? "  removed  " : "  put  ";
+    line += cell(what, "kind");
+    line += " ";
+    line += cell(what, "id");
+    line += "  (operation ";
+    line += cell(change, "operation");
+    line += ")";
+    return line;
+}
+
+/// Prints the changes of a page of the history.
+void print_changes(const session& with, const boost::json::value& page)
+{
+    for (const boost::json::value& each : page.at("changes").as_array())
+    {
+        if (with.flags.json)
+        {
+            print_json(each);
+        }
+        else
+        {
+            std::cout << change_line(each) << "\n";
+        }
+    }
+    std::cout.flush();
+}
+
+std::string history_target(std::uint64_t after, std::uint64_t limit)
+{
+    return "/v1/history?after=" + std::to_string(after) +
+           "&limit=" + std::to_string(limit);
+}
+
+/// Fetches and, on failure, prints why.
+std::variant<boost::json::value, exit_code> fetch(control_client& from,
+                                                  const std::string& target)
+{
+    const outcome<answer> received = from.get(target);
+    if (!is_ok(received))
+    {
+        return fail(error_of(received));
+    }
+    if (!value_of(received).ok())
+    {
+        return fail(value_of(received));
+    }
+    return value_of(received).body;
+}
+
+} // namespace
+
+exit_code run_show(session& with)
+{
+    if (with.arguments.size() > 2)
+    {
+        return fail(exit_code::usage, "show needs at most a kind and an id");
+    }
+    std::string target = "/v1/objects";
+    if (!with.arguments.empty())
+    {
+        const auto kind = parse_kind(with.arguments[0]);
+        if (!kind)
+        {
+            return fail(exit_code::usage, "no such kind of object");
+        }
+        target += "/" + std::string(config::to_string(*kind));
+    }
+    const bool one = with.arguments.size() == 2;
+    target += one ? "/" + with.arguments[1] : "";
+    const auto body = fetch(with.control, target);
+    if (const auto* failed = std::get_if<exit_code>(&body))
+    {
+        return *failed;
+    }
+    const auto& value = std::get<0>(body);
+    if (with.flags.json)
+    {
+        print_json(value);
+    }
+    else if (one)
+    {
+        print_fields(value, "");
+    }
+    else
+    {
+        print_objects(value);
+    }
+    return exit_code::success;
+}
+
+exit_code run_history(session& with)
+{
+    const auto body =
+        fetch(with.control, history_target(with.flags.after, with.flags.limit));
+    if (const auto* failed = std::get_if<exit_code>(&body))
+    {
+        return *failed;
+    }
+    print_changes(with, std::get<0>(body));
+    return exit_code::success;
+}
+
+exit_code run_watch(session& with)
+{
+    std::uint64_t after = with.flags.after;
+    if (after == 0)
+    {
+        const auto now = fetch(with.control, history_target(0, 0));
+        if (const auto* failed = std::get_if<exit_code>(&now))
+        {
+            return *failed;
+        }
+        after = std::get<0>(now).at("newest").to_number<std::uint64_t>();
+    }
+    for (;;)
+    {
+        const auto page =
+            fetch(with.control, history_target(after, with.flags.limit));
+        if (const auto* failed = std::get_if<exit_code>(&page))
+        {
+            return *failed;
+        }
+        const auto& value = std::get<0>(page);
+        print_changes(with, value);
+        const auto last = value.at("last").to_number<std::uint64_t>();
+        if (last == after)
+        {
+            std::this_thread::sleep_for(watch_period);
+        }
+        after = last;
+    }
+}
+
+exit_code run_in_force(session& with)
+{
+    const auto body = fetch(with.control, "/v1/in-force");
+    if (const auto* failed = std::get_if<exit_code>(&body))
+    {
+        return *failed;
+    }
+    const auto& value = std::get<0>(body);
+    if (with.flags.json)
+    {
+        print_json(value);
+        return exit_code::success;
+    }
+    std::cout << "accepted revision " << cell(value, "accepted")
+              << ", in force everywhere " << cell(value, "in_force") << "\n";
+    print_rows(
+        value.at("data_centres"),
+        {"data_centre", "revision", "routers", "relay", "silent", "lagging"});
+    return exit_code::success;
+}
+
+exit_code run_status(session& with)
+{
+    const auto body = fetch(with.routers, "/v1/status");
+    if (const auto* failed = std::get_if<exit_code>(&body))
+    {
+        return *failed;
+    }
+    const auto& value = std::get<0>(body);
+    if (with.flags.json)
+    {
+        print_json(value);
+        return exit_code::success;
+    }
+    std::cout << "as seen by " << cell(value, "vm") << ", configuration at "
+              << "revision " << cell(value, "revision") << "\n\n";
+    print_rows(value.at("routers"),
+               {"vm", "data_centre", "region", "address", "state", "ready"});
+    std::cout << "\n";
+    print_rows(value.at("engines"),
+               {"engine",
+                "data_centre",
+                "kind",
+                "owner",
+                "in_service",
+                "leaving",
+                "in_flight",
+                "waiting",
+                "limit",
+                "bound"});
+    return exit_code::success;
+}
+
+exit_code run_new_key(session&)
+{
+    const std::string key = random_hex(key_bytes);
+    std::cout << "key     " << key << "\n"
+              << "sha256  " << to_hex(config::sha256(key)) << "\n";
+    return exit_code::success;
+}
+
+exit_code run_digest(session&)
+{
+    std::string key;
+    std::getline(std::cin, key);
+    if (key.empty())
+    {
+        return fail(exit_code::usage, "digest reads a key or token from input");
+    }
+    std::cout << to_hex(config::sha256(key)) << "\n";
+    return exit_code::success;
+}
+
+} // namespace limpet::ctl
