--- a/libs/membership/include/limpet/membership/node.hpp
+++ b/libs/membership/include/limpet/membership/node.hpp
@@ -34,7 +34,7 @@
     node(const settings& settings,
          peer self,
          incarnation started,
-         std::vector<peer> seeds,
+         const std::vector<peer>& seeds,
          std::uint64_t random_seed,
          time_point now);
     ~node();
--- a/libs/membership/src/decode.cpp
+++ b/libs/membership/src/decode.cpp
@@ -1,8 +1,8 @@
-#include "membership_generated.h"
 #include "message.hpp"
 #include "packed_rows.hpp"
 
 #include <algorithm>
+#include <membership_generated.h>
 
 namespace limpet::membership
 {
--- a/libs/membership/src/encode.cpp
+++ b/libs/membership/src/encode.cpp
@@ -1,8 +1,8 @@
-#include "membership_generated.h"
 #include "message.hpp"
 #include "packed_rows.hpp"
 
 #include <algorithm>
+#include <membership_generated.h>
 
 namespace limpet::membership
 {
@@ -205,6 +205,7 @@
 write(builder& out, const std::vector<router_status>& input)
 {
     std::vector<wire::RouterStatus> items;
+    items.reserve(input.size());
     for (const auto& item : input)
     {
         items.emplace_back(item.router,
@@ -221,6 +222,7 @@
 write(builder& out, const std::vector<engine_status>& input)
 {
     std::vector<wire::EngineStatus> items;
+    items.reserve(input.size());
     for (const auto& item : input)
     {
         items.emplace_back(item.engine,
--- a/libs/membership/src/node.cpp
+++ b/libs/membership/src/node.cpp
@@ -450,7 +450,7 @@
 node::node(const settings& settings,
            peer self,
            incarnation started,
-           std::vector<peer> seeds,
+           const std::vector<peer>& seeds,
            std::uint64_t random_seed,
            time_point now)
     : m_impl(std::make_unique<impl>(
