Only a full owner passes on full ownership

A hand-over now says whether the former owner was full; without it, the new owner waits for the lease as after a failure.

--- a/libs/membership/src/decode.cpp
+++ b/libs/membership/src/decode.cpp
@@ -114,7 +114,8 @@
         result.items.push_back({item->key(),
                                 fencing_number(item->fencing()),
                                 item->in_flight(),
-                                item->limit()});
+                                item->limit(),
+                                item->full()});
     }
     return result;
 }
--- a/libs/membership/src/encode.cpp
+++ b/libs/membership/src/encode.cpp
@@ -146,8 +146,11 @@
         std::vector<wire::HandOverItem> items;
         for (const auto& item : input.items)
         {
-            items.emplace_back(
-                item.engine, item.fencing.get(), item.in_flight, item.limit);
+            items.emplace_back(item.engine,
+                               item.fencing.get(),
+                               item.in_flight,
+                               item.limit,
+                               item.full);
         }
         return as(wire::Body::HandOver,
                   wire::CreateHandOver(out, out.CreateVectorOfStructs(items)));
--- a/libs/membership/src/message.hpp
+++ b/libs/membership/src/message.hpp
@@ -142,6 +142,9 @@
     fencing_number fencing;
     std::uint32_t in_flight = 0;
     std::uint32_t limit = 0;
+    /// Whether the former owner was the only dispatcher until now. Later
+    /// reports of its remaining requests do not say so again.
+    bool full = false;
 };
 
 struct hand_over
--- a/libs/membership/src/ownership_tracker.cpp
+++ b/libs/membership/src/ownership_tracker.cpp
@@ -66,7 +66,7 @@
     m_view = current;
     for (const auto& [engine, held] : holdings)
     {
-        lose(engine, held);
+        lose(engine, held, now);
     }
     send_hand_overs();
 }
@@ -94,10 +94,7 @@
                     has_removed_routers(server.data_centre);
     const auto* former = m_view->owner_of(server.engine);
     held.former = former == nullptr ? 0 : key_of(former->self.vm);
-    const auto* former_entry = m_state.find_router(held.former);
-    const bool former_left = former_entry != nullptr &&
-                             former_entry->record.state == router_state::left;
-    if (former_left || (former == nullptr && has_long_lease(now)))
+    if (former == nullptr && has_long_lease(now))
     {
         held.full_at = now;
     }
@@ -129,7 +126,7 @@
                                });
 }
 
-void ownership_tracker::lose(key engine, const holding& held)
+void ownership_tracker::lose(key engine, const holding& held, time_point now)
 {
     const auto* slot = m_state.find_engine(engine);
     const auto* owner = slot == nullptr
@@ -143,8 +140,11 @@
     const auto inherited = held.inherited ? held.inherited->in_flight : 0;
     const auto to = key_of(owner->self.vm);
     m_passed_on[engine] = {to, load.in_flight};
-    m_to_send[to].items.push_back(
-        {engine, number_of(held), load.in_flight + inherited, load.limit});
+    m_to_send[to].items.push_back({engine,
+                                   number_of(held),
+                                   load.in_flight + inherited,
+                                   load.limit,
+                                   is_full(held, now)});
 }
 
 void ownership_tracker::send_hand_overs()
@@ -208,7 +208,7 @@
     const auto limit = held.inherited ? held.inherited->limit : item.limit;
     held.inherited = handed_over{item.in_flight, limit};
     held.inherited_at = now;
-    if (!held.full_at)
+    if (item.full && !held.full_at)
     {
         held.full_at = now;
     }
@@ -361,6 +361,11 @@
                           (m_state.self_key() & tag_mask));
 }
 
+bool ownership_tracker::is_full(const holding& held, time_point now) const
+{
+    return holds_lease(now) && held.full_at && now >= *held.full_at;
+}
+
 ownership_mode ownership_tracker::mode_of(const holding& held,
                                           time_point now) const
 {
@@ -370,8 +375,8 @@
     }
     if (holds_lease(now))
     {
-        return held.full_at && now >= *held.full_at ? ownership_mode::full
-                                                    : ownership_mode::limited;
+        return is_full(held, now) ? ownership_mode::full
+                                  : ownership_mode::limited;
     }
     const bool hears_engine =
         held.renewed && now - *held.renewed < m_state.values().engine_lease;
@@ -460,7 +465,7 @@
         if (load.in_flight > 0 || one.reported > 0)
         {
             m_to_send[one.to].items.push_back(
-                {engine, fencing_number(0), load.in_flight, load.limit});
+                {engine, fencing_number(0), load.in_flight, load.limit, false});
         }
         one.reported = load.in_flight;
         const bool ended = load.in_flight == 0;
--- a/libs/membership/src/ownership_tracker.hpp
+++ b/libs/membership/src/ownership_tracker.hpp
@@ -19,7 +19,7 @@
 /// ownership began, the lease of the former owner and the fencing number.
 ///
 /// An ownership begins as limited. It becomes full when the former owner
-/// hands over or has left; when the engine is new to a data centre that this
+/// hands over a full one; when the engine is new to a data centre that this
 /// router has held a lease in for long; or one lease after a quorum agreed on
 /// the change, as by then the former owner's lease has run out. While this
 /// router's own lease has lapsed, it owns nothing, unless it hears no router
@@ -108,11 +108,12 @@
     holding gain(const engine_entry& entry, time_point now);
     holding keep(holding held, const engine_record& engine) const;
     bool is_own(const view& current, const engine_entry& entry) const;
-    void lose(key engine, const holding& held);
+    void lose(key engine, const holding& held, time_point now);
     bool has_long_lease(time_point now) const;
     bool has_removed_routers(const data_centre_id& data_centre) const;
     void refute_removals(time_point now);
     bool holds_lease(time_point now) const;
+    bool is_full(const holding& held, time_point now) const;
     bool is_alone(time_point now) const;
     void watch_lease(time_point now);
     void regain(holding& held, time_point now);
--- /dev/null
+++ b/libs/membership/test/faults_test.cpp
@@ -0,0 +1,270 @@
+#include "fleet.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace limpet::membership
+{
+
+namespace
+{
+
+using cut = std::pair<std::string, std::string>;
+
+/// A fleet with engines, the faults at work in it and its invariants.
+struct faulty_fleet
+{
+    explicit faulty_fleet(std::uint64_t seed)
+        : all(places("abc", 3), seed)
+    {
+        all.is_cut = [this](const std::string& from, const std::string& to)
+        {
+            return is_cut(from, to);
+        };
+        for (std::size_t i = 0; i < 12; ++i)
+        {
+            const std::string data_centre(1, "abc"[i % 3]);
+            auto server = make_engine("e" + std::to_string(i), data_centre);
+            server.checks_fencing = i % 2 == 0;
+            all.keep_alive(
+                server,
+                {data_centre + "1", data_centre + "2", data_centre + "3"});
+            engines.push_back(std::move(server));
+        }
+    }
+
+    bool is_cut(const std::string& from, const std::string& to) const
+    {
+        const bool apart = !cut_off_data_centre.empty() &&
+                           (from.substr(0, 1) == cut_off_data_centre) !=
+                               (to.substr(0, 1) == cut_off_data_centre);
+        return apart || isolated.contains(from) || isolated.contains(to) ||
+               one_way.contains({from, to});
+    }
+
+    std::string random_vm()
+    {
+        return all.all()[all.random.below(all.all().size())].vm;
+    }
+
+    /// Checks what must hold at any moment, whatever the faults.
+    void check()
+    {
+        for (const auto& server : engines)
+        {
+            check_engine(server);
+        }
+    }
+
+    void check_engine(const announcement& server)
+    {
+        std::vector<std::string> full;
+        std::vector<std::string> ordering;
+        for (const auto& vm : all.up())
+        {
+            const auto standing =
+                all.at(vm).ownership_of(server.engine, all.now);
+            if (standing.mode == ownership_mode::full)
+            {
+                full.push_back(vm);
+            }
+            if (standing.may_order)
+            {
+                ordering.push_back(vm);
+                check_number(server.engine.get(), vm, standing.fencing);
+            }
+        }
+        const auto& id = server.engine.get();
+        if (full.size() > 1)
+        {
+            BOOST_ERROR(id << " has two full owners, " << full[0] << " and "
+                           << full[1]);
+        }
+        if (!server.checks_fencing && ordering.size() > 1)
+        {
+            BOOST_ERROR(id << " gets orders of two routers");
+        }
+    }
+
+    /// A number that appears for the first time is above all earlier ones.
+    void check_number(const std::string& engine,
+                      const std::string& vm,
+                      fencing_number number)
+    {
+        auto& seen = numbers[engine];
+        const auto found = seen.find(number);
+        if (found != seen.end())
+        {
+            BOOST_TEST(found->second == vm, engine << " number repeated");
+            return;
+        }
+        BOOST_TEST((seen.empty() || seen.rbegin()->first < number),
+                   engine << " number fell at " << vm);
+        seen.emplace(number, vm);
+    }
+
+    void run(duration time)
+    {
+        all.run(time,
+                [this]
+                {
+                    check();
+                });
+    }
+
+    void heal()
+    {
+        cut_off_data_centre.clear();
+        isolated.clear();
+        one_way.clear();
+        all.loss = 0;
+        all.max_delay = milliseconds(5);
+        for (const auto& where : all.all())
+        {
+            if (!all.is_up(where.vm))
+            {
+                all.start(where.vm);
+            }
+        }
+    }
+
+    void check_converged()
+    {
+        for (const auto& vm : all.up())
+        {
+            BOOST_TEST(all.at(vm).snapshot()->routers().size() ==
+                           all.all().size(),
+                       vm << " lacks routers");
+            for (const auto& server : engines)
+            {
+                const auto& id = server.engine.get();
+                const auto owner = all.owner(vm, id);
+                BOOST_TEST(owner == all.owner("a1", id));
+                BOOST_TEST(owner.substr(0, 1) == server.data_centre.get());
+                BOOST_TEST((all.mode(vm, id) == ownership_mode::full) ==
+                               (owner == vm),
+                           id << " at " << vm);
+            }
+        }
+    }
+
+    fleet all;
+    std::vector<announcement> engines;
+    std::string cut_off_data_centre;
+    std::set<std::string> isolated;
+    std::set<cut> one_way;
+    std::map<std::string, std::map<fencing_number, std::string>> numbers;
+};
+
+struct fault
+{
+    const char* name;
+    void (*strike)(faulty_fleet&);
+};
+
+const fault faults[] = {
+    {"killed",
+     [](faulty_fleet& f)
+     {
+         f.all.kill(f.random_vm());
+     }},
+    {"restarted",
+     [](faulty_fleet& f)
+     {
+         const auto vm = f.random_vm();
+         f.all.kill(vm);
+         f.all.start(vm);
+     }},
+    {"flapping",
+     [](faulty_fleet& f)
+     {
+         const auto vm = f.random_vm();
+         for (int i = 0; i < 4; ++i)
+         {
+             f.all.kill(vm);
+             f.run(milliseconds(f.all.random.below(6000)));
+             f.all.start(vm);
+             f.run(milliseconds(f.all.random.below(6000)));
+         }
+     }},
+    {"left",
+     [](faulty_fleet& f)
+     {
+         const auto vm = f.random_vm();
+         if (f.all.is_up(vm))
+         {
+             f.all.leave(vm);
+             f.run(seconds(1));
+             f.all.kill(vm);
+         }
+     }},
+    {"isolated",
+     [](faulty_fleet& f)
+     {
+         f.isolated.insert(f.random_vm());
+     }},
+    {"one_way_cut",
+     [](faulty_fleet& f)
+     {
+         for (int i = 0; i < 4; ++i)
+         {
+             f.one_way.insert({f.random_vm(), f.random_vm()});
+         }
+     }},
+    {"data_centre_cut_off",
+     [](faulty_fleet& f)
+     {
+         f.cut_off_data_centre = "b";
+     }},
+    {"lossy",
+     [](faulty_fleet& f)
+     {
+         f.all.loss = 0.3;
+     }},
+    {"slow",
+     [](faulty_fleet& f)
+     {
+         f.all.max_delay = milliseconds(900);
+     }},
+};
+
+constexpr int fault_count = sizeof(faults) / sizeof(faults[0]);
+
+void strike_and_heal(int first, int second, std::uint64_t seed)
+{
+    faulty_fleet fleet(seed);
+    fleet.run(seconds(25));
+    faults[first].strike(fleet);
+    fleet.run(milliseconds(fleet.all.random.below(12000)));
+    if (second != first)
+    {
+        faults[second].strike(fleet);
+    }
+    fleet.run(seconds(30));
+    fleet.heal();
+    fleet.run(seconds(100));
+    fleet.check_converged();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(faults_test)
+
+BOOST_DATA_TEST_CASE(faults_alone_and_in_pairs_keep_invariants_and_heal,
+                     boost::unit_test::data::xrange(fault_count) *
+                         boost::unit_test::data::xrange(fault_count),
+                     first,
+                     second)
+{
+    BOOST_TEST_CONTEXT(faults[first].name << " then " << faults[second].name)
+    {
+        strike_and_heal(first, second, 100 * first + second);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace limpet::membership
