--- a/libs/membership/src/encode.cpp
+++ b/libs/membership/src/encode.cpp
@@ -1,8 +1,8 @@
-#include "membership_generated.h"
 #include "message.hpp"
 #include "packed_rows.hpp"
 
 #include <algorithm>
+#include <membership_generated.h>
 
 namespace limpet::membership
 {
@@ -146,8 +146,11 @@
         std::vector<wire::HandOverItem> items;
         for (const auto& item : input.items)
         {
-            items.emplace_back(
-                item.engine, item.fencing.get(), item.in_flight, item.limit);
+            items.emplace_back(item.engine,
+                               item.fencing.get(),
+                               item.in_flight,
+                               item.limit,
+                               item.full);
         }
         return as(wire::Body::HandOver,
                   wire::CreateHandOver(out, out.CreateVectorOfStructs(items)));
@@ -205,6 +208,7 @@
 write(builder& out, const std::vector<router_status>& input)
 {
     std::vector<wire::RouterStatus> items;
+    items.reserve(input.size());
     for (const auto& item : input)
     {
         items.emplace_back(item.router,
@@ -221,6 +225,7 @@
 write(builder& out, const std::vector<engine_status>& input)
 {
     std::vector<wire::EngineStatus> items;
+    items.reserve(input.size());
     for (const auto& item : input)
     {
         items.emplace_back(item.engine,
