Distribution tree, operators' interface and dispatch ledger in the daemons

Conclusion: the own ledger is gone; the query after a lost link names the process that the request was sent to.

--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -1,6 +1,7 @@
 #include <limpet/base/log.hpp>
-#include <limpet/base/settings_reader.hpp>
-#include <limpet/config/authorise.hpp>
+#include <limpet/config/config_publisher.hpp>
+#include <limpet/config/force_table.hpp>
+#include <limpet/config/operator_api.hpp>
 #include <limpet/config/state_machine.hpp>
 #include <limpet/control/control_server.hpp>
 #include <limpet/http/endpoint.hpp>
@@ -19,8 +20,6 @@
 namespace
 {
 
-constexpr std::string_view bearer = "Bearer ";
-
 std::uint64_t unix_ms()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -28,22 +27,21 @@
         std::chrono::duration_cast<milliseconds>(now).count());
 }
 
-http::response make_json(unsigned status, const boost::json::value& body)
+http::response to_http(const config::api_response& made)
 {
     http::response answer;
-    answer.head.status = status;
+    answer.head.status = made.status;
     answer.head.headers.set("Content-Type", "application/json");
-    answer.body = boost::json::serialize(body);
+    answer.body = boost::json::serialize(made.body);
     return answer;
 }
 
-http::response make_error(unsigned status, const error& reason)
+http::response make_text(std::string text)
 {
-    return make_json(status,
-                     boost::json::object{
-                         {"error",
-                          boost::json::object{{"code", to_string(reason.code)},
-                                              {"message", reason.message}}}});
+    http::response answer;
+    answer.head.headers.set("Content-Type", "text/plain");
+    answer.body = std::move(text);
+    return answer;
 }
 
 class running_server final : public control_server
@@ -61,11 +59,11 @@
         wire::link_handlers handlers;
         handlers.on_frame = [this](const wire::link_identity& from,
                                    wire::channel kind,
-                                   std::string)
+                                   std::string payload)
         {
             if (kind == wire::channel::config)
             {
-                send_config(from);
+                take_config(from, payload);
             }
         };
         handlers.on_lost = [](const vm_id&) {};
@@ -115,78 +113,90 @@
     }
 
 private:
-    void send_config(const wire::link_identity& from)
+    void take_config(const wire::link_identity& from, std::string_view payload)
     {
         const auto address = http::parse_endpoint(from.address);
-        if (!is_ok(address))
+        const auto message = config::decode_distribution(payload);
+        if (!is_ok(message) || !is_ok(address))
         {
+            log_event(
+                log_level::warn, "frame.malformed", {{"peer", from.vm.get()}});
             return;
         }
         m_hub->set_peer(from.vm, value_of(address));
-        m_hub->send(from.vm,
-                    wire::channel::config,
-                    config::encode_view(*m_state.view()));
+        const time_point now = monotonic_clock::now();
+        std::vector<config::outgoing_message> out;
+        if (const auto* sync =
+                std::get_if<config::sync_message>(&value_of(message)))
+        {
+            if (sync->report)
+            {
+                m_force.receive(from.vm, *sync->report, now);
+            }
+            m_publisher.receive(from.vm, *sync, served(), now, out);
+        }
+        else if (const auto* part =
+                     std::get_if<config::part_request>(&value_of(message)))
+        {
+            m_publisher.receive(from.vm, *part, served(), now, out);
+        }
+        send(out);
     }
 
-    net::awaitable<void> handle(http::exchange& caller)
+    config::served_config served() const
     {
-        http::response answer = answer_to(caller.received());
-        co_await caller.respond(std::move(answer));
+        return {m_state.view(), m_state.history()};
     }
 
-    http::response answer_to(const http::request& request)
+    void send(const std::vector<config::outgoing_message>& messages)
     {
-        if (request.target == "/healthz")
+        for (const config::outgoing_message& item : messages)
         {
-            return make_json(200, "ok");
+            m_hub->send(
+                item.to, wire::channel::config, config::encode(item.content));
         }
-        if (request.method == "POST" && request.target == "/v1/commands")
-        {
-            return take_command(request);
-        }
-        return make_error(404, {error_code::not_found, "no such resource"});
     }
 
-    http::response take_command(const http::request& request)
+    net::awaitable<void> handle(http::exchange& caller)
     {
-        const auto document = parse_json(request.body);
-        if (!is_ok(document))
-        {
-            return make_error(400, error_of(document));
-        }
-        auto command = config::parse_command(value_of(document));
-        if (!is_ok(command))
+        http::response answer = answer_to(caller.received());
+        co_await caller.respond(std::move(answer));
+    }
+
+    http::response answer_to(const http::request& request)
+    {
+        if (request.target == "/healthz" || request.target == "/readyz")
         {
-            return make_error(400, error_of(command));
+            return make_text("ok\n");
         }
-        config::command& order = value_of(command);
-        order.submitted_unix_ms = unix_ms();
-        const std::string_view field =
-            request.headers.value_or_empty("Authorization");
-        const auto* author =
-            field.starts_with(bearer)
-                ? m_state.view()->operator_of_token(
-                      config::sha256(field.substr(bearer.size())))
-                : nullptr;
-        if (author != nullptr)
+        const config::force_summary force =
+            m_force.summary(monotonic_clock::now());
+        const config::api_request call{
+            request.method,
+            request.target,
+            std::string(request.headers.value_or_empty("Authorization")),
+            request.body};
+        auto handled = config::handle_operator(
+            call, {m_state, force, unix_ms(), std::nullopt});
+        if (const auto* made = std::get_if<config::api_response>(&handled))
         {
-            order.author = author->value.id;
-            const status allowed =
-                config::authorise(*m_state.view(), author->value, order.what);
-            if (!is_ok(allowed))
-            {
-                return make_error(403, error_of(allowed));
-            }
+            return to_http(*made);
         }
-        const config::command_result result = m_state.apply(++m_index, order);
-        const bool ok = std::holds_alternative<config::accepted>(result);
-        return make_json(ok ? 200 : 409, config::to_json(result));
+        const auto& order = std::get<config::command>(handled);
+        const config::command_result result =
+            m_state.apply(m_state.applied_index() + 1, order);
+        std::vector<config::outgoing_message> out;
+        m_publisher.publish(served(), monotonic_clock::now(), out);
+        send(out);
+        return to_http(config::response_to(result));
     }
 
     net::io_context& m_context;
     control_settings m_settings;
     config::state_machine m_state;
-    std::uint64_t m_index = 0;
+    config::config_publisher m_publisher{config::distribution_settings{}};
+    config::force_table m_force{
+        config::distribution_settings{}.silence_timeout};
     std::shared_ptr<wire::link_hub> m_hub;
     std::unique_ptr<http::server> m_server;
 };
--- a/libs/pipeline/include/limpet/pipeline/exchange_message.hpp
+++ b/libs/pipeline/include/limpet/pipeline/exchange_message.hpp
@@ -123,21 +123,23 @@
 /// never seen it refuses it from then on.
 struct query_message
 {
+    /// Process that the request was sent to.
+    incarnation sent_to;
 };
 
 /// What an owner knows of an exchange.
-enum class request_state : std::uint8_t
+enum class exchange_state : std::uint8_t
 {
     refused,  ///< Never dispatched and never will be by this process.
-    queued,   ///< Waits for a slot.
-    running,  ///< Was dispatched and has not ended.
-    finished, ///< Was dispatched and has ended.
+    running,  ///< Was received and has not ended.
+    finished, ///< Was received and has ended.
+    unknown,  ///< Nothing can be said of it.
 };
 
 /// Answer to a query.
 struct state_message
 {
-    request_state value = request_state::running;
+    exchange_state value = exchange_state::running;
 };
 
 using exchange_content = std::variant<open_message,
--- a/libs/pipeline/src/attempt.cpp
+++ b/libs/pipeline/src/attempt.cpp
@@ -134,7 +134,7 @@
         }
         else if (!m_queried)
         {
-            m_queried = is_ok(send(query_message{}));
+            m_queried = is_ok(send(query_message{m_target.owner_start}));
         }
     }
     co_return std::move(*m_result);
@@ -255,13 +255,13 @@
     {
         return;
     }
-    if (state->value == request_state::refused)
+    if (state->value == exchange_state::refused)
     {
         fail(finish_result::not_run,
              {error_code::unavailable, "owner never saw the request"});
         return;
     }
-    if (state->value == request_state::finished)
+    if (state->value != exchange_state::running)
     {
         fail(finish_result::broken,
              {error_code::io_error, "the end of the answer was lost"});
@@ -289,7 +289,7 @@
         return;
     }
     // An unsent query counts as unanswered after the same time.
-    send(query_message{});
+    send(query_message{m_target.owner_start});
     m_queried = true;
 }
 
--- a/libs/pipeline/src/config_store.hpp
+++ b/libs/pipeline/src/config_store.hpp
@@ -1,28 +1,50 @@
 /// \file
-/// The configuration in force at this router.
+/// Follows the configuration and keeps what is in force at this router.
 
 #pragma once
 
-#include <limpet/config/config_view.hpp>
+#include <limpet/config/distribution_node.hpp>
+#include <limpet/pipeline/router_settings.hpp>
+#include <limpet/wire/link_hub.hpp>
 
+#include <functional>
+#include <memory>
 #include <mutex>
 
 namespace limpet::pipeline
 {
 
-/// Holds the configuration in force, which never reverts. Thread-safe.
+/// Runs the router's part in the distribution of the configuration over its
+/// links. Thread-safe.
 class config_store
 {
 public:
-    /// Returns the configuration, or null before there is one.
+    config_store(const router_settings& settings,
+                 std::uint64_t random_seed,
+                 std::shared_ptr<wire::link_hub> hub,
+                 std::function<void()> on_change);
+
+    /// Returns the configuration in force, or null before there is one.
     config::view_ptr get() const;
 
-    /// Puts a configuration in force unless it is not newer. Returns whether
-    /// it did.
-    bool adopt(config::view_ptr received);
+    /// Does what is due.
+    void tick(time_point now);
+
+    /// Takes a frame of the config channel.
+    void receive(const vm_id& from, std::string_view payload, time_point now);
+
+    /// Sets the live routers of the data centre, without this one.
+    void set_peers(std::vector<vm_id> peers);
 
 private:
+    void carry_out(const std::vector<config::outgoing_message>& messages);
+
+    std::shared_ptr<wire::link_hub> m_hub;
+    std::function<void()> m_on_change;
+    data_centre_id m_data_centre;
+    std::vector<vm_id> m_controls;
     mutable std::mutex m_mutex;
+    config::distribution_node m_node;
     config::view_ptr m_view;
 };
 
--- a/libs/pipeline/src/exchange_codec.cpp
+++ b/libs/pipeline/src/exchange_codec.cpp
@@ -143,10 +143,10 @@
         return fbs::Createcancel(builder).Union();
     }
 
-    Offset<void> operator()(const query_message&)
+    Offset<void> operator()(const query_message& value)
     {
         kind = fbs::body::query;
-        return fbs::Createquery(builder).Union();
+        return fbs::Createquery(builder, value.sent_to.get()).Union();
     }
 
     Offset<void> operator()(const placed_message& value)
@@ -230,7 +230,7 @@
 
 std::optional<exchange_content> read_state(const fbs::state& table)
 {
-    const auto value = checked_enum(table.value(), request_state::finished);
+    const auto value = checked_enum(table.value(), exchange_state::unknown);
     if (!value)
     {
         return std::nullopt;
@@ -263,7 +263,7 @@
     case fbs::body::cancel:
         return cancel_message{};
     case fbs::body::query:
-        return query_message{};
+        return query_message{incarnation(table.content_as_query()->sent_to())};
     case fbs::body::state:
         return read_state(*table.content_as_state());
     case fbs::body::placed:
--- a/libs/pipeline/src/exchange_generated.h
+++ b/libs/pipeline/src/exchange_generated.h
@@ -1109,8 +1109,15 @@
 
 struct query FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef queryBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SENT_TO = 4
+  };
+  uint64_t sent_to() const {
+    return GetField<uint64_t>(VT_SENT_TO, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SENT_TO, 8) &&
            verifier.EndTable();
   }
 };
@@ -1119,6 +1126,9 @@
   typedef query Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_sent_to(uint64_t sent_to) {
+    fbb_.AddElement<uint64_t>(query::VT_SENT_TO, sent_to, 0);
+  }
   explicit queryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1131,8 +1141,10 @@
 };
 
 inline flatbuffers::Offset<query> Createquery(
-    flatbuffers::FlatBufferBuilder &_fbb) {
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sent_to = 0) {
   queryBuilder builder_(_fbb);
+  builder_.add_sent_to(sent_to);
   return builder_.Finish();
 }
 
--- a/libs/pipeline/src/owner_service.cpp
+++ b/libs/pipeline/src/owner_service.cpp
@@ -19,8 +19,6 @@
 /// Time after which a caller may try an engine again that was not owned here.
 constexpr duration not_owner_retry = milliseconds(100);
 constexpr std::uint8_t highest_priority = 9;
-/// Longer than any message can be on its way over a broken link.
-constexpr duration ledger_keep = std::chrono::minutes(5);
 constexpr double full_percent = 100.0;
 
 placement::engine_view make_engine_view(const membership::engine_record& from)
@@ -42,6 +40,23 @@
            view.in_service(record.server.engine);
 }
 
+exchange_state to_exchange_state(claims::request_state state)
+{
+    switch (state)
+    {
+    case claims::request_state::not_run:
+        return exchange_state::refused;
+    case claims::request_state::running:
+        return exchange_state::running;
+    case claims::request_state::finished:
+        return exchange_state::finished;
+    case claims::request_state::other_incarnation:
+    case claims::request_state::no_promise:
+        break;
+    }
+    return exchange_state::unknown;
+}
+
 model_id first_model(const membership::engine_record& record)
 {
     return record.server.models.empty() ? model_id()
@@ -100,7 +115,7 @@
       m_directory(std::move(directory)),
       m_shares(std::make_shared<admission::share_table>()),
       m_config(std::make_shared<config::config_view>()),
-      m_ledger(ledger_keep)
+      m_ledger(m_hub->self().start, {})
 {
 }
 
@@ -113,9 +128,9 @@
         open(from, id, std::move(*request));
         return;
     }
-    if (std::holds_alternative<query_message>(message.content))
+    if (const auto* query = std::get_if<query_message>(&message.content))
     {
-        answer_query(from, id);
+        answer_query(from, id, *query);
         return;
     }
     const request_id key = make_exchange_key(from, id);
@@ -185,11 +200,14 @@
 bool owner_service::register_exchange(const exchange_ptr& exchange)
 {
     const std::lock_guard lock(m_exchanges_mutex);
-    if (!m_ledger.begin(exchange->key(), monotonic_clock::now()))
+    const auto arrival =
+        m_ledger.arrive(exchange->key(), monotonic_clock::now());
+    if (arrival != claims::arrival::run)
     {
         return false;
     }
-    return m_exchanges.emplace(exchange->key(), exchange).second;
+    m_exchanges.emplace(exchange->key(), exchange);
+    return true;
 }
 
 void owner_service::refuse_open(const exchange_ptr& exchange,
@@ -222,17 +240,15 @@
 }
 
 void owner_service::answer_query(const wire::link_identity& from,
-                                 exchange_id id)
+                                 exchange_id id,
+                                 const query_message& query)
 {
     const request_id key = make_exchange_key(from, id);
     state_message answer;
     {
         const std::lock_guard lock(m_exchanges_mutex);
-        const bool open = m_exchanges.contains(key);
-        const bool seen = m_ledger.query(key, monotonic_clock::now());
-        answer.value = open   ? request_state::running
-                       : seen ? request_state::finished
-                              : request_state::refused;
+        answer.value = to_exchange_state(
+            m_ledger.query(key, query.sent_to, monotonic_clock::now()));
     }
     m_hub->send(from.vm, wire::channel::exchange, encode({id, answer}));
 }
@@ -241,6 +257,7 @@
 {
     const std::lock_guard lock(m_exchanges_mutex);
     m_exchanges.erase(key);
+    m_ledger.finish(key, monotonic_clock::now());
 }
 
 owner_service::exchange_ptr
--- a/libs/pipeline/src/owner_service.hpp
+++ b/libs/pipeline/src/owner_service.hpp
@@ -3,12 +3,12 @@
 
 #pragma once
 
-#include "exchange_ledger.hpp"
 #include "fleet.hpp"
 #include "served_exchange.hpp"
 #include "shared_directory.hpp"
 
 #include <limpet/admission/dispatcher.hpp>
+#include <limpet/claims/dispatch_ledger.hpp>
 #include <limpet/config/config_view.hpp>
 #include <limpet/placement/load_bound.hpp>
 
@@ -78,7 +78,9 @@
     void
     open(const wire::link_identity& from, exchange_id id, open_message request);
     void cancel(const request_id& key);
-    void answer_query(const wire::link_identity& from, exchange_id id);
+    void answer_query(const wire::link_identity& from,
+                      exchange_id id,
+                      const query_message& query);
     void refuse_open(const exchange_ptr& exchange,
                      error reason,
                      duration retry_after);
@@ -117,7 +119,7 @@
 
     mutable std::mutex m_exchanges_mutex;
     std::unordered_map<request_id, exchange_ptr> m_exchanges;
-    exchange_ledger m_ledger;
+    claims::dispatch_ledger m_ledger;
 };
 
 } // namespace limpet::pipeline
--- a/libs/pipeline/src/router.cpp
+++ b/libs/pipeline/src/router.cpp
@@ -9,7 +9,6 @@
 
 #include <limpet/base/log.hpp>
 #include <limpet/base/timer_service.hpp>
-#include <limpet/config/state_machine.hpp>
 #include <limpet/http/endpoint.hpp>
 #include <limpet/pipeline/router.hpp>
 
@@ -28,7 +27,6 @@
 {
 
 constexpr duration tick_period = milliseconds(50);
-constexpr duration config_poll_period = milliseconds(500);
 constexpr duration drain_check_period = milliseconds(50);
 /// Time for which a leaving router keeps on telling its peers.
 constexpr duration leave_time = seconds(1);
@@ -61,6 +59,13 @@
         }
         m_fleet = std::make_shared<fleet>(
             m_settings, m_incarnation, m_incarnation.get(), now);
+        m_config = std::make_shared<config_store>(m_settings,
+                                                  m_incarnation.get(),
+                                                  m_hub,
+                                                  [this]
+                                                  {
+                                                      update_routes();
+                                                  });
         m_directory = std::make_shared<shared_directory>(
             m_settings.directory_chats, directory_keep);
         m_routes = std::make_shared<routing_table>(now);
@@ -201,7 +206,7 @@
                 m_metrics,
                 [this]
                 {
-                    return m_config.get();
+                    return m_config->get();
                 }};
     }
 
@@ -214,7 +219,7 @@
                 m_metrics,
                 [this]
                 {
-                    return m_config.get();
+                    return m_config->get();
                 },
                 [this]
                 {
@@ -269,7 +274,7 @@
             take_exchange(from, payload);
             return;
         case wire::channel::config:
-            take_config(payload);
+            m_config->receive(from.vm, payload, monotonic_clock::now());
             return;
         default:
             log_event(log_level::warn,
@@ -309,41 +314,28 @@
                std::holds_alternative<state_message>(content);
     }
 
-    void take_config(std::string_view payload)
-    {
-        auto view = config::decode_view(payload);
-        if (!is_ok(view))
-        {
-            log_event(log_level::warn,
-                      "config.refused",
-                      {{"reason", error_of(view).message}});
-            return;
-        }
-        if (m_config.adopt(std::make_shared<const config::config_view>(
-                std::move(value_of(view)))))
-        {
-            log_event(log_level::info,
-                      "config.in_force",
-                      {{"revision", m_config.get()->where().number.get()}});
-            update_routes();
-        }
-    }
-
     void update_links(const fleet::view_ptr& view)
     {
+        std::vector<vm_id> neighbours;
         for (const membership::router_record& peer : view->routers())
         {
+            if (peer.self.vm != m_settings.self.vm &&
+                peer.self.data_centre == m_settings.self.data_centre)
+            {
+                neighbours.push_back(peer.self.vm);
+            }
             const auto address = http::parse_endpoint(peer.self.address);
             if (peer.self.vm != m_settings.self.vm && is_ok(address))
             {
                 m_hub->set_peer(peer.self.vm, value_of(address));
             }
         }
+        m_config->set_peers(std::move(neighbours));
     }
 
     void update_routes()
     {
-        const config::view_ptr config = m_config.get();
+        const config::view_ptr config = m_config->get();
         if (!config)
         {
             return;
@@ -355,7 +347,7 @@
 
     bool is_ready() const
     {
-        return !m_draining && m_fleet->joined() && m_config.get() != nullptr;
+        return !m_draining && m_fleet->joined() && m_config->get() != nullptr;
     }
 
     void subscribe_timers()
@@ -365,16 +357,11 @@
                        {
                            m_fleet->tick(now);
                            m_owners->tick(now);
-                       });
-        m_timers.every(config_poll_period,
-                       [this](time_point)
-                       {
-                           ask_for_config();
+                           m_config->tick(now);
                        });
         net::post(m_strand,
                   [this]
                   {
-                      ask_for_config();
                       run_clock();
                   });
     }
@@ -398,14 +385,6 @@
             });
     }
 
-    void ask_for_config()
-    {
-        for (const control_peer& peer : m_settings.control)
-        {
-            m_hub->send(peer.vm, wire::channel::config, "");
-        }
-    }
-
     void begin_drain(std::function<void()> on_drained)
     {
         m_draining = true;
@@ -435,7 +414,7 @@
     timer_service m_timers;
     net::steady_timer m_clock;
     incarnation m_incarnation;
-    config_store m_config;
+    std::shared_ptr<config_store> m_config;
     std::shared_ptr<wire::link_hub> m_hub;
     std::shared_ptr<fleet> m_fleet;
     std::shared_ptr<shared_directory> m_directory;
