--- a/libs/http/include/limpet/http/server.hpp
+++ b/libs/http/include/limpet/http/server.hpp
@@ -57,6 +57,9 @@
     /// the caller can tell from a whole one.
     virtual boost::asio::awaitable<status> end_stream() = 0;
 
+    /// Closes the connection at once, whatever was sent of the answer.
+    virtual void cut_off() = 0;
+
     /// Calls the function once if the caller closes the connection before the
     /// answer's end, also if only the caller's sending side: the two cannot be
     /// told apart. Null removes it.
--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -131,7 +131,7 @@
     boost::asio::post(m_socket.get_executor(),
                       [self = shared_from_this()]
                       {
-                          self->close();
+                          self->caller_gone();
                       });
 }
 
@@ -381,6 +381,12 @@
     co_return result;
 }
 
+void connection::cut_off()
+{
+    m_on_gone = nullptr;
+    caller_gone();
+}
+
 void connection::on_caller_gone(std::function<void()> call)
 {
     m_on_gone = std::move(call);
--- a/libs/http/src/connection.hpp
+++ b/libs/http/src/connection.hpp
@@ -53,6 +53,7 @@
     boost::asio::awaitable<status> begin_stream(response_head head) override;
     boost::asio::awaitable<status> write(std::string_view bytes) override;
     boost::asio::awaitable<status> end_stream() override;
+    void cut_off() override;
     void on_caller_gone(std::function<void()> call) override;
 
 private:
