--- a/libs/pipeline/src/filters.cpp
+++ b/libs/pipeline/src/filters.cpp
@@ -155,11 +155,14 @@
 }
 
 filter_result choose_model(request_context& context,
-                           const config::team_parameters& parameters)
+                           const config::team_parameters& parameters,
+                           boost::json::object& body)
 {
     if (context.model.get().empty() && !parameters.models().empty())
     {
         context.model = parameters.models().front();
+        body["model"] = context.model.get();
+        context.forwarded.body = boost::json::serialize(body);
     }
     if (!parameters.allows_model(context.model.get()))
     {
@@ -176,7 +179,7 @@
     {
         return bad_request("chat completions are requested with POST");
     }
-    const auto body = parse_json(context.forwarded.body);
+    auto body = parse_json(context.forwarded.body);
     if (!is_ok(body))
     {
         return refusal{error_of(body)};
@@ -194,7 +197,7 @@
     context.repeatable = parameters.repeatable(chat_kind);
     context.prompt_tokens = static_cast<std::uint32_t>(
         context.forwarded.body.size() / bytes_per_token);
-    return choose_model(context, parameters);
+    return choose_model(context, parameters, value_of(body).get_object());
 }
 
 filter_result classify_service(request_context& context)
