Requests with an idempotency key are claimed before they run

Cause: nothing kept a resent alert from running twice. The entry router now asks the control group for the key, runs the request once it is granted, and records the answer; a resent key waits for or gets the recorded answer.

--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -1,3 +1,5 @@
+#include "control_state.hpp"
+
 #include <limpet/base/log.hpp>
 #include <limpet/config/config_publisher.hpp>
 #include <limpet/config/force_table.hpp>
@@ -6,6 +8,7 @@
 #include <limpet/control/control_server.hpp>
 #include <limpet/http/endpoint.hpp>
 #include <limpet/http/server.hpp>
+#include <limpet/wire/call_message.hpp>
 #include <limpet/wire/link_hub.hpp>
 
 #include <boost/json.hpp>
@@ -65,6 +68,10 @@
             {
                 take_config(from, payload);
             }
+            if (kind == wire::channel::control)
+            {
+                take_call(from, payload);
+            }
         };
         handlers.on_lost = [](const vm_id&) {};
         auto hub = wire::link_hub::listen(m_context,
@@ -145,7 +152,7 @@
 
     config::served_config served() const
     {
-        return {m_state.view(), m_state.history()};
+        return {m_state.config().view(), m_state.config().history()};
     }
 
     void send(const std::vector<config::outgoing_message>& messages)
@@ -157,6 +164,36 @@
         }
     }
 
+    void take_call(const wire::link_identity& from, std::string_view payload)
+    {
+        const auto address = http::parse_endpoint(from.address);
+        const auto message = wire::decode_call_message(payload);
+        if (!is_ok(message) || !is_ok(address) ||
+            !std::holds_alternative<wire::call>(value_of(message)))
+        {
+            log_event(
+                log_level::warn, "frame.malformed", {{"peer", from.vm.get()}});
+            return;
+        }
+        m_hub->set_peer(from.vm, value_of(address));
+        const auto& call = std::get<wire::call>(value_of(message));
+        auto order = claims::decode_command(call.payload);
+        wire::reply reply{call.id, std::string(), m_settings.vm};
+        if (is_ok(order))
+        {
+            value_of(order).at_ms = unix_ms();
+            reply.result =
+                m_state.apply(++m_index, make_entry(value_of(order)));
+        }
+        else
+        {
+            reply.result = error_of(order);
+        }
+        m_hub->send(from.vm,
+                    wire::channel::control,
+                    wire::encode(wire::call_message(std::move(reply))));
+    }
+
     net::awaitable<void> handle(http::exchange& caller)
     {
         http::response answer = answer_to(caller.received());
@@ -177,23 +214,25 @@
             std::string(request.headers.value_or_empty("Authorization")),
             request.body};
         auto handled = config::handle_operator(
-            call, {m_state, force, unix_ms(), std::nullopt});
+            call, {m_state.config(), force, unix_ms(), std::nullopt});
         if (const auto* made = std::get_if<config::api_response>(&handled))
         {
             return to_http(*made);
         }
         const auto& order = std::get<config::command>(handled);
-        const config::command_result result =
-            m_state.apply(m_state.applied_index() + 1, order);
+        const std::string answer = m_state.apply(++m_index, make_entry(order));
         std::vector<config::outgoing_message> out;
         m_publisher.publish(served(), monotonic_clock::now(), out);
         send(out);
-        return to_http(config::response_to(result));
+        const auto result = config::parse_result(boost::json::parse(answer));
+        return to_http(is_ok(result) ? config::response_to(value_of(result))
+                                     : config::response_to(error_of(result)));
     }
 
     net::io_context& m_context;
     control_settings m_settings;
-    config::state_machine m_state;
+    control_state m_state;
+    std::uint64_t m_index = 0;
     config::config_publisher m_publisher{config::distribution_settings{}};
     config::force_table m_force{
         config::distribution_settings{}.silence_timeout};
--- /dev/null
+++ b/libs/control/src/control_state.cpp
@@ -0,0 +1,134 @@
+#include "control_state.hpp"
+
+#include <boost/json.hpp>
+
+#include <utility>
+
+namespace limpet::control
+{
+
+namespace
+{
+
+/// First byte of an entry.
+constexpr char config_kind = 'c';
+constexpr char claim_kind = 'k';
+
+constexpr std::size_t length_bytes = 8;
+constexpr unsigned bits_per_byte = 8;
+
+void append_length(std::string& out, std::size_t length)
+{
+    for (std::size_t i = 0; i < length_bytes; ++i)
+    {
+        out += static_cast<char>(length >> (bits_per_byte * i));
+    }
+}
+
+/// Takes a length-prefixed part off the front of the bytes.
+outcome<std::string_view> take_part(std::string_view& bytes)
+{
+    const error cut{error_code::malformed, "control snapshot is cut off"};
+    if (bytes.size() < length_bytes)
+    {
+        return cut;
+    }
+    std::uint64_t length = 0;
+    for (std::size_t i = 0; i < length_bytes; ++i)
+    {
+        const auto part = static_cast<unsigned char>(bytes[i]);
+        length |= static_cast<std::uint64_t>(part) << (bits_per_byte * i);
+    }
+    bytes.remove_prefix(length_bytes);
+    if (length > bytes.size())
+    {
+        return cut;
+    }
+    const std::string_view part = bytes.substr(0, length);
+    bytes.remove_prefix(length);
+    return part;
+}
+
+} // namespace
+
+std::string make_entry(const config::command& order)
+{
+    return config_kind + encode(order);
+}
+
+std::string make_entry(const claims::claim_command& order)
+{
+    return claim_kind + encode(order);
+}
+
+control_state::control_state(std::uint64_t group)
+    : m_config(group),
+      m_claims(claims::claim_limits{})
+{
+}
+
+std::string control_state::apply(std::uint64_t index, std::string_view entry)
+{
+    if (entry.starts_with(config_kind))
+    {
+        const auto order = config::decode_command(entry.substr(1));
+        if (is_ok(order))
+        {
+            return boost::json::serialize(
+                to_json(m_config.apply(index, value_of(order))));
+        }
+    }
+    if (entry.starts_with(claim_kind))
+    {
+        m_config.skip(index);
+        const auto order = claims::decode_command(entry.substr(1));
+        if (is_ok(order))
+        {
+            return encode(m_claims.apply(index, value_of(order)));
+        }
+    }
+    m_config.skip(index);
+    return {};
+}
+
+std::string control_state::snapshot() const
+{
+    const std::string config = m_config.snapshot();
+    const std::string claims = m_claims.snapshot();
+    std::string out;
+    append_length(out, config.size());
+    out += config;
+    append_length(out, claims.size());
+    out += claims;
+    return out;
+}
+
+status control_state::restore(std::string_view snapshot)
+{
+    const auto config_part = take_part(snapshot);
+    if (!is_ok(config_part))
+    {
+        return error_of(config_part);
+    }
+    const auto claims_part = take_part(snapshot);
+    if (!is_ok(claims_part))
+    {
+        return error_of(claims_part);
+    }
+    auto config = config::state_machine::restore(value_of(config_part));
+    if (!is_ok(config))
+    {
+        return error_of(config);
+    }
+    auto claims = claims::claim_table::restore(value_of(claims_part),
+                                               claims::claim_limits{});
+    if (!is_ok(claims))
+    {
+        return error_of(claims);
+    }
+    m_config = std::move(value_of(config));
+    m_claims = std::move(value_of(claims));
+    return success();
+}
+
+} // namespace limpet::control
--- a/libs/pipeline/src/answer_writer.cpp
+++ b/libs/pipeline/src/answer_writer.cpp
@@ -13,6 +13,8 @@
 constexpr std::string_view event_stream_type = "text/event-stream";
 /// Longest answer that is held back until it is whole.
 constexpr std::size_t max_kept_bytes = 1024 * 1024;
+/// Longest body that is recorded for requests with an idempotency key.
+constexpr std::size_t max_recorded_bytes = 4096;
 /// Outcome in the head of a stream, whose regular end means that it is whole.
 constexpr std::string_view streaming_outcome = "streaming";
 
@@ -87,6 +89,19 @@
     co_return co_await m_context.caller.respond(std::move(answer));
 }
 
+claims::settle answer_writer::recorded() const
+{
+    claims::settle result;
+    result.status = static_cast<std::uint16_t>(m_head.status);
+    result.media_type = m_head.headers.value_or_empty(headers::content_type);
+    result.body_kept = !m_streaming && m_kept.size() <= max_recorded_bytes;
+    if (result.body_kept)
+    {
+        result.body = m_kept;
+    }
+    return result;
+}
+
 void answer_writer::restart()
 {
     m_kept.clear();
--- a/libs/pipeline/src/answer_writer.hpp
+++ b/libs/pipeline/src/answer_writer.hpp
@@ -5,6 +5,7 @@
 
 #include "request_context.hpp"
 
+#include <limpet/claims/claim_command.hpp>
 #include <limpet/pipeline/exchange_message.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -35,6 +36,10 @@
     /// Ends the answer regularly.
     boost::asio::awaitable<status> complete();
 
+    /// Returns the whole answer for the record, without its body if that is
+    /// long or was streamed. Call before complete().
+    claims::settle recorded() const;
+
     /// Writes nothing more to the caller, who has gone.
     void detach() noexcept
     {
--- a/libs/pipeline/src/entry_service.cpp
+++ b/libs/pipeline/src/entry_service.cpp
@@ -1,14 +1,14 @@
 #include "entry_service.hpp"
 
 #include "answers.hpp"
+#include "claim_guard.hpp"
+#include "headers.hpp"
 #include "request_ids.hpp"
+#include "wait_for.hpp"
 
 #include <limpet/base/log.hpp>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
@@ -30,14 +30,6 @@
 /// Time after which to try again when no engine could be reached.
 constexpr duration unavailable_retry = seconds(1);
 
-net::awaitable<void> wait_for(duration length)
-{
-    net::steady_timer timer(co_await net::this_coro::executor);
-    timer.expires_after(length);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
-}
-
 placement::chat_holders to_holders(const std::vector<chat_hint>& hints)
 {
     placement::chat_holders holders;
@@ -186,27 +178,67 @@
 
 net::awaitable<void> entry_service::run(request_context& context)
 {
-    filter_result result = run_filters(context);
-    if (const auto* why = std::get_if<refusal>(&result))
+    const filter_result filtered = run_filters(context);
+    if (const auto* why = std::get_if<refusal>(&filtered))
     {
         co_await refuse(context, *why);
         co_return;
     }
+    claim_guard claim(context, m_parts.claims);
+    const claim_decision decision = co_await claim.claim();
+    if (const auto* before = std::get_if<recorded_answer>(&decision))
+    {
+        co_await replay(context, before->result);
+        co_return;
+    }
+    claims::settle result;
+    if (const auto* why = std::get_if<refusal>(&decision))
+    {
+        co_await refuse(context, *why);
+    }
+    else
+    {
+        result = co_await run_claimed(context);
+    }
+    co_await claim.settle(std::move(result));
+}
+
+net::awaitable<claims::settle>
+entry_service::run_claimed(request_context& context)
+{
     answer_writer writer(context);
     writer.set_last_event(context.resume_after);
-    result = co_await try_engines(context, writer);
+    const filter_result tried = co_await try_engines(context, writer);
     context.caller.on_caller_gone(nullptr);
-    if (const auto* why = std::get_if<refusal>(&result))
+    if (const auto* why = std::get_if<refusal>(&tried))
     {
         context.outcome = why->outcome;
         if (!writer.started())
         {
             co_await refuse(context, *why);
         }
-        co_return;
+        co_return claims::settle{};
     }
     context.outcome = run_outcome::complete;
+    claims::settle result = writer.recorded();
     co_await writer.complete();
+    co_return result;
+}
+
+net::awaitable<void> entry_service::replay(request_context& context,
+                                           const claims::settle& result)
+{
+    context.outcome = run_outcome::complete;
+    context.status = result.status;
+    http::response answer;
+    answer.head.status = result.status;
+    answer.head.headers.set(headers::content_type, result.media_type);
+    answer.head.headers.set(headers::request, context.id.get());
+    answer.head.headers.set(headers::outcome, to_string(run_outcome::complete));
+    answer.head.headers.set(headers::replayed,
+                            result.body_kept ? "whole" : "status-only");
+    answer.body = result.body;
+    co_await context.caller.respond(std::move(answer));
 }
 
 net::awaitable<filter_result>
--- a/libs/pipeline/src/entry_service.hpp
+++ b/libs/pipeline/src/entry_service.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "attempt.hpp"
+#include "claims_client.hpp"
 #include "filters.hpp"
 #include "fleet.hpp"
 #include "request_metrics.hpp"
@@ -28,6 +29,7 @@
     std::shared_ptr<fleet> members;
     std::shared_ptr<routing_table> routes;
     std::shared_ptr<request_metrics> metrics;
+    std::shared_ptr<claims_client> claims;
     /// Returns the configuration in force, or null before there is one.
     std::function<config::view_ptr()> config;
 };
@@ -59,6 +61,10 @@
 
     filter_result run_filters(request_context& context);
     boost::asio::awaitable<void> run(request_context& context);
+    boost::asio::awaitable<claims::settle>
+    run_claimed(request_context& context);
+    boost::asio::awaitable<void> replay(request_context& context,
+                                        const claims::settle& result);
     boost::asio::awaitable<filter_result> try_engines(request_context& context,
                                                       answer_writer& writer);
     boost::asio::awaitable<attempt_result>
--- a/libs/pipeline/src/headers.hpp
+++ b/libs/pipeline/src/headers.hpp
@@ -23,6 +23,7 @@
 inline constexpr std::string_view outcome = "Limpet-Outcome";
 inline constexpr std::string_view placement = "Limpet-Placement";
 inline constexpr std::string_view priority = "Limpet-Priority";
+inline constexpr std::string_view replayed = "Limpet-Replayed";
 inline constexpr std::string_view request = "Limpet-Request";
 inline constexpr std::string_view retry_after_ms = "Limpet-Retry-After-Ms";
 
--- a/libs/pipeline/src/router.cpp
+++ b/libs/pipeline/src/router.cpp
@@ -70,6 +70,12 @@
             m_settings.directory_chats, directory_keep);
         m_routes = std::make_shared<routing_table>(now);
         m_metrics = std::make_shared<request_metrics>(max_metric_teams);
+        std::vector<vm_id> controls;
+        for (const control_peer& peer : m_settings.control)
+        {
+            controls.push_back(peer.vm);
+        }
+        m_claims = std::make_shared<claims_client>(m_hub, std::move(controls));
         m_client = http::client::create({});
         m_owners = std::make_shared<owner_service>(
             m_context, m_hub, m_client, m_fleet, m_directory);
@@ -204,6 +210,7 @@
                 m_fleet,
                 m_routes,
                 m_metrics,
+                m_claims,
                 [this]
                 {
                     return m_config->get();
@@ -273,6 +280,9 @@
         case wire::channel::exchange:
             take_exchange(from, payload);
             return;
+        case wire::channel::control:
+            take_reply(payload);
+            return;
         case wire::channel::config:
             m_config->receive(from.vm, payload, monotonic_clock::now());
             return;
@@ -306,6 +316,17 @@
         }
     }
 
+    void take_reply(std::string_view payload)
+    {
+        auto message = wire::decode_call_message(payload);
+        if (is_ok(message) &&
+            std::holds_alternative<wire::reply>(value_of(message)))
+        {
+            m_claims->receive(
+                std::move(std::get<wire::reply>(value_of(message))));
+        }
+    }
+
     static bool is_for_entry(const exchange_content& content)
     {
         return std::holds_alternative<head_message>(content) ||
@@ -420,6 +441,7 @@
     std::shared_ptr<shared_directory> m_directory;
     std::shared_ptr<routing_table> m_routes;
     std::shared_ptr<request_metrics> m_metrics;
+    std::shared_ptr<claims_client> m_claims;
     std::shared_ptr<http::client> m_client;
     std::shared_ptr<owner_service> m_owners;
     std::unique_ptr<entry_service> m_entry;
