--- a/libs/config/include/limpet/config/config_publisher.hpp
+++ b/libs/config/include/limpet/config/config_publisher.hpp
@@ -37,6 +37,10 @@
     duration first_wait = seconds(2);
     /// Shortest time between two reports of a relay.
     duration report_interval = milliseconds(200);
+    /// Time between two reports of a relay without a change.
+    duration report_refresh = seconds(5);
+    /// Time after which a data centre without a report counts as silent.
+    duration report_timeout = seconds(12);
     /// Time after which a lost part of a snapshot is asked for again.
     duration part_timeout = seconds(2);
     std::size_t part_bytes = 256 * 1024;
--- a/libs/config/include/limpet/config/distribution_node.hpp
+++ b/libs/config/include/limpet/config/distribution_node.hpp
@@ -145,6 +145,7 @@
     time_point m_next_sync;
     time_point m_next_direct;
     time_point m_next_report;
+    time_point m_last_report;
     std::optional<force_report> m_reported;
     /// When an unanswered sync was sent to an upstream.
     std::map<vm_id, time_point> m_unanswered;
--- a/libs/config/src/distribution_node.cpp
+++ b/libs/config/src/distribution_node.cpp
@@ -233,11 +233,12 @@
         return;
     }
     force_report current = report(now);
-    const bool due = now >= m_next_report + m_settings.sync_interval;
+    const bool due = now >= m_last_report + m_settings.report_refresh;
     if (m_reported == current && !due)
     {
         return;
     }
+    m_last_report = now;
     m_next_report = now + m_settings.report_interval;
     m_reported = current;
     const std::optional<vm_id> followed = upstream(now);
@@ -403,6 +404,8 @@
 void distribution_node::after_change(const vm_id& source, time_point now)
 {
     m_publisher.publish(served(), now, m_out);
+    // The peers' answers are waited for, so that one report tells of all.
+    m_next_report = std::max(m_next_report, now + m_settings.report_interval);
     const std::optional<vm_id> followed = upstream(now);
     // The upstream may lag, if the change came from somewhere else.
     if (followed)
--- a/libs/config/src/testing_fake_fleet.cpp
+++ b/libs/config/src/testing_fake_fleet.cpp
@@ -47,7 +47,7 @@
         m_region_of[vm] = place / options.data_centres_per_region;
         m_controls.push_back({std::make_unique<state_machine>(options.seed),
                               config_publisher(options.settings),
-                              force_table(options.settings.silence_timeout)});
+                              force_table(options.settings.report_timeout)});
     }
     for (std::size_t i = 0; i < routers; ++i)
     {
