--- a/libs/membership/src/decode.cpp
+++ b/libs/membership/src/decode.cpp
@@ -1,8 +1,8 @@
-#include "membership_generated.h"
 #include "message.hpp"
 #include "packed_rows.hpp"
 
 #include <algorithm>
+#include <membership_generated.h>
 
 namespace limpet::membership
 {
@@ -114,7 +114,8 @@
         result.items.push_back({item->key(),
                                 fencing_number(item->fencing()),
                                 item->in_flight(),
-                                item->limit()});
+                                item->limit(),
+                                item->full()});
     }
     return result;
 }
