Keep finished claims in 32-byte places after an hour

After body_retention (1 h) only the key, the fingerprint and the status stay, in hash tables for slices of the retention that are dropped as a whole. A resent key still never runs; it gets the status without the body.

--- a/libs/claims/include/limpet/claims/claim_command.hpp
+++ b/libs/claims/include/limpet/claims/claim_command.hpp
@@ -78,6 +78,7 @@
 /// The request has run under the key.
 struct finished
 {
+    /// Empty once the answer's body is no longer kept.
     request_id holder;
     /// False if the holder never recorded an outcome, so that nobody knows
     /// whether and how far it ran.
--- a/libs/claims/include/limpet/claims/claim_table.hpp
+++ b/libs/claims/include/limpet/claims/claim_table.hpp
@@ -6,6 +6,7 @@
 #include <limpet/base/outcome.hpp>
 #include <limpet/base/units.hpp>
 #include <limpet/claims/claim_command.hpp>
+#include <limpet/claims/outcome_archive.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -19,9 +20,12 @@
 /// Bounds of a claims group; equal on all its replicas.
 struct claim_limits
 {
-    /// Time for which a key and its outcome are remembered after the outcome
-    /// was recorded. A key that comes back later runs again.
+    /// Time for which a key is remembered at least after its outcome was
+    /// recorded. A key that comes back later runs again.
     milliseconds retention = std::chrono::hours(24);
+    /// Time for which the recorded answer is given again in full; after it
+    /// only the status is left. At most the retention.
+    milliseconds body_retention = std::chrono::hours(1);
     /// Time after the claim at which a request without a recorded outcome
     /// counts as run with an unknown outcome. Longer than any deadline.
     milliseconds longest_run = std::chrono::hours(2);
@@ -64,13 +68,13 @@
     /// Returns the number of keys remembered.
     std::size_t size() const noexcept
     {
-        return m_entries.size();
+        return m_entries.size() + m_archive.size();
     }
 
     /// Returns the bytes that the keys take, with the containers' overhead.
     byte_count used() const noexcept
     {
-        return byte_count(m_used);
+        return byte_count(m_used + m_archive.bytes());
     }
 
     /// Returns the whole state.
@@ -120,14 +124,18 @@
     on(const claim_command& command, entry* known, const settle& action);
     claim_answer
     on(const claim_command& command, entry* known, const release& action);
+    claim_answer on_archived(const claim_command& command,
+                             const archived_outcome& known) const;
     claim_answer grant(const claim_command& command, std::uint64_t fingerprint);
     void advance_clock(std::uint64_t at_ms);
     void expire(std::deque<due>& queue);
     void pass_due(const claim_key& key);
     void schedule(const claim_key& key, entry& of);
+    void archive(const claim_key& key, const entry& of);
     void erase(const claim_key& key);
     void write_queue(std::string& out, const std::deque<due>& queue) const;
     status load(std::string_view bytes);
+    status load_slice(std::string_view bytes);
     static std::uint64_t cost_of(const entry& value);
 
     claim_limits m_limits;
@@ -135,6 +143,7 @@
     std::uint64_t m_clock_ms = 0;
     std::uint64_t m_used = 0;
     std::unordered_map<claim_key, entry> m_entries;
+    outcome_archive m_archive;
     // Each queue has one period, so it is in the order of the due times.
     std::deque<due> m_running;
     std::deque<due> m_retained;
--- a/libs/claims/src/claim_snapshot.cpp
+++ b/libs/claims/src/claim_snapshot.cpp
@@ -2,6 +2,8 @@
 
 #include <limpet/claims/claim_table.hpp>
 
+#include <vector>
+
 namespace limpet::claims
 {
 
@@ -46,6 +48,22 @@
     return record;
 }
 
+flatbuffers::Offset<fb::Slice>
+write_slice(flatbuffers::FlatBufferBuilder& builder,
+            std::uint64_t from_ms,
+            const std::vector<archived_outcome>& outcomes)
+{
+    std::vector<fb::Outcome> written;
+    written.reserve(outcomes.size());
+    for (const archived_outcome& each : outcomes)
+    {
+        written.emplace_back(
+            write_key(each.key), each.fingerprint, each.status, each.known);
+    }
+    return fb::CreateSlice(
+        builder, from_ms, builder.CreateVectorOfStructs(written));
+}
+
 const error malformed{error_code::malformed, "malformed claims snapshot"};
 
 } // namespace
@@ -53,13 +71,27 @@
 std::string claim_table::snapshot() const
 {
     std::string out;
+    std::uint64_t slices = 0;
+    m_archive.for_each_slice(
+        [&](std::uint64_t, const auto&)
+        {
+            ++slices;
+        });
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(fb::CreateSnapshotHeader(builder,
                                             snapshot_format,
                                             m_applied_index,
                                             m_clock_ms,
-                                            m_entries.size()));
+                                            m_entries.size(),
+                                            slices));
     append_record(out, builder);
+    m_archive.for_each_slice(
+        [&](std::uint64_t from_ms, const auto& outcomes)
+        {
+            builder.Clear();
+            builder.Finish(write_slice(builder, from_ms, outcomes));
+            append_record(out, builder);
+        });
     write_queue(out, m_running);
     write_queue(out, m_retained);
     return out;
@@ -109,6 +141,15 @@
     out.m_applied_index = header->applied_index();
     out.m_clock_ms = header->clock_ms();
     const std::uint64_t entries = header->entries();
+    const std::uint64_t slices = header->slices();
+    for (std::uint64_t i = 0; i < slices; ++i)
+    {
+        status loaded = out.load_slice(take_record(snapshot));
+        if (!is_ok(loaded))
+        {
+            return error_of(loaded);
+        }
+    }
     while (!snapshot.empty())
     {
         status loaded = out.load(take_record(snapshot));
@@ -124,6 +165,25 @@
     return out;
 }
 
+status claim_table::load_slice(std::string_view bytes)
+{
+    const auto* from = verified_root<fb::Slice>(bytes);
+    if (from == nullptr || from->outcomes() == nullptr)
+    {
+        return malformed;
+    }
+    for (const fb::Outcome* each : *from->outcomes())
+    {
+        archived_outcome outcome;
+        outcome.key = read_key(each->key());
+        outcome.fingerprint = each->fingerprint();
+        outcome.status = each->status();
+        outcome.known = each->known();
+        m_archive.add(outcome, from->from_ms());
+    }
+    return success();
+}
+
 status claim_table::load(std::string_view bytes)
 {
     const auto* from = verified_root<fb::Entry>(bytes);
--- a/libs/claims/src/claim_table.cpp
+++ b/libs/claims/src/claim_table.cpp
@@ -69,7 +69,8 @@
 }
 
 claim_table::claim_table(const claim_limits& limits)
-    : m_limits(limits)
+    : m_limits(limits),
+      m_archive(limits.retention - limits.body_retention)
 {
 }
 
@@ -88,6 +89,14 @@
     advance_clock(command.at_ms);
     const auto found = m_entries.find(command.key);
     entry* known = found == m_entries.end() ? nullptr : &found->second;
+    if (known == nullptr)
+    {
+        const archived_outcome* archived = m_archive.find(command.key);
+        if (archived != nullptr)
+        {
+            return on_archived(command, *archived);
+        }
+    }
     return std::visit(
         [&](const auto& action)
         {
@@ -147,7 +156,7 @@
     }
     m_used -= cost_of(*known);
     known->set_texts(command.request.get(), bounded(action, m_limits.max_body));
-    if (m_used + cost_of(*known) > m_limits.capacity.get())
+    if (used().get() + cost_of(*known) > m_limits.capacity.get())
     {
         known->set_texts(command.request.get(), bounded(action, byte_count(0)));
     }
@@ -176,13 +185,29 @@
     return done{};
 }
 
+claim_answer claim_table::on_archived(const claim_command& command,
+                                      const archived_outcome& known) const
+{
+    const auto* asked = std::get_if<claim>(&command.action);
+    if (asked == nullptr)
+    {
+        return refuse(error_code::not_found, "the request holds no claim");
+    }
+    if (asked->fingerprint != known.fingerprint)
+    {
+        return refuse(error_code::invalid_argument,
+                      "the key was used with another request");
+    }
+    return finished{{}, known.known, {known.status, {}, {}, false}};
+}
+
 claim_answer claim_table::grant(const claim_command& command,
                                 std::uint64_t fingerprint)
 {
     entry value;
     value.fingerprint = fingerprint;
     value.set_texts(command.request.get(), {});
-    if (m_used + cost_of(value) > m_limits.capacity.get())
+    if (used().get() + cost_of(value) > m_limits.capacity.get())
     {
         return refuse(error_code::overloaded, "the claims group is full");
     }
@@ -198,6 +223,7 @@
     m_clock_ms = std::max(m_clock_ms, at_ms);
     expire(m_running);
     expire(m_retained);
+    m_archive.expire(m_clock_ms);
 }
 
 void claim_table::expire(std::deque<due>& queue)
@@ -218,20 +244,24 @@
 void claim_table::pass_due(const claim_key& key)
 {
     entry& of = m_entries.at(key);
-    if (of.phase != state::in_progress)
+    if (of.phase == state::in_progress)
     {
-        erase(key);
+        of.phase = state::unknown;
+        schedule(key, of);
         return;
     }
-    of.phase = state::unknown;
-    schedule(key, of);
+    if (of.phase != state::released)
+    {
+        archive(key, of);
+    }
+    erase(key);
 }
 
 void claim_table::schedule(const claim_key& key, entry& of)
 {
     const bool running = of.phase == state::in_progress;
     const milliseconds period =
-        running ? m_limits.longest_run : m_limits.retention;
+        running ? m_limits.longest_run : m_limits.body_retention;
     const std::uint64_t due_ms =
         m_clock_ms + static_cast<std::uint64_t>(period.count());
     if (of.due_ms == due_ms)
@@ -242,6 +272,16 @@
     (running ? m_running : m_retained).push_back({of.due_ms, key});
 }
 
+void claim_table::archive(const claim_key& key, const entry& of)
+{
+    archived_outcome outcome;
+    outcome.key = key;
+    outcome.fingerprint = of.fingerprint;
+    outcome.status = of.status;
+    outcome.known = of.phase == state::complete;
+    m_archive.add(outcome, of.due_ms);
+}
+
 void claim_table::erase(const claim_key& key)
 {
     const auto found = m_entries.find(key);
--- a/libs/claims/src/claims_generated.h
+++ b/libs/claims/src/claims_generated.h
@@ -52,6 +52,11 @@
 struct Entry;
 struct EntryBuilder;
 
+struct Outcome;
+
+struct Slice;
+struct SliceBuilder;
+
 struct SnapshotHeader;
 struct SnapshotHeaderBuilder;
 
@@ -298,6 +303,50 @@
 };
 FLATBUFFERS_STRUCT_END(Key, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Outcome FLATBUFFERS_FINAL_CLASS {
+ private:
+  limpet::claims::fb::Key key_;
+  uint64_t fingerprint_;
+  uint16_t status_;
+  uint8_t known_;
+  int8_t padding0__;  int32_t padding1__;
+
+ public:
+  Outcome()
+      : key_(),
+        fingerprint_(0),
+        status_(0),
+        known_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  Outcome(const limpet::claims::fb::Key &_key, uint64_t _fingerprint, uint16_t _status, bool _known)
+      : key_(_key),
+        fingerprint_(flatbuffers::EndianScalar(_fingerprint)),
+        status_(flatbuffers::EndianScalar(_status)),
+        known_(flatbuffers::EndianScalar(static_cast<uint8_t>(_known))),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  const limpet::claims::fb::Key &key() const {
+    return key_;
+  }
+  uint64_t fingerprint() const {
+    return flatbuffers::EndianScalar(fingerprint_);
+  }
+  uint16_t status() const {
+    return flatbuffers::EndianScalar(status_);
+  }
+  bool known() const {
+    return flatbuffers::EndianScalar(known_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(Outcome, 32);
+
 struct Claim FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ClaimBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1047,13 +1096,77 @@
       result);
 }
 
+struct Slice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SliceBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FROM_MS = 4,
+    VT_OUTCOMES = 6
+  };
+  uint64_t from_ms() const {
+    return GetField<uint64_t>(VT_FROM_MS, 0);
+  }
+  const flatbuffers::Vector<const limpet::claims::fb::Outcome *> *outcomes() const {
+    return GetPointer<const flatbuffers::Vector<const limpet::claims::fb::Outcome *> *>(VT_OUTCOMES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_FROM_MS, 8) &&
+           VerifyOffset(verifier, VT_OUTCOMES) &&
+           verifier.VerifyVector(outcomes()) &&
+           verifier.EndTable();
+  }
+};
+
+struct SliceBuilder {
+  typedef Slice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_from_ms(uint64_t from_ms) {
+    fbb_.AddElement<uint64_t>(Slice::VT_FROM_MS, from_ms, 0);
+  }
+  void add_outcomes(flatbuffers::Offset<flatbuffers::Vector<const limpet::claims::fb::Outcome *>> outcomes) {
+    fbb_.AddOffset(Slice::VT_OUTCOMES, outcomes);
+  }
+  explicit SliceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Slice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Slice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Slice> CreateSlice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t from_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const limpet::claims::fb::Outcome *>> outcomes = 0) {
+  SliceBuilder builder_(_fbb);
+  builder_.add_from_ms(from_ms);
+  builder_.add_outcomes(outcomes);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Slice> CreateSliceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t from_ms = 0,
+    const std::vector<limpet::claims::fb::Outcome> *outcomes = nullptr) {
+  auto outcomes__ = outcomes ? _fbb.CreateVectorOfStructs<limpet::claims::fb::Outcome>(*outcomes) : 0;
+  return limpet::claims::fb::CreateSlice(
+      _fbb,
+      from_ms,
+      outcomes__);
+}
+
 struct SnapshotHeader FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SnapshotHeaderBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FORMAT = 4,
     VT_APPLIED_INDEX = 6,
     VT_CLOCK_MS = 8,
-    VT_ENTRIES = 10
+    VT_ENTRIES = 10,
+    VT_SLICES = 12
   };
   uint32_t format() const {
     return GetField<uint32_t>(VT_FORMAT, 0);
@@ -1067,12 +1180,16 @@
   uint64_t entries() const {
     return GetField<uint64_t>(VT_ENTRIES, 0);
   }
+  uint64_t slices() const {
+    return GetField<uint64_t>(VT_SLICES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_FORMAT, 4) &&
            VerifyField<uint64_t>(verifier, VT_APPLIED_INDEX, 8) &&
            VerifyField<uint64_t>(verifier, VT_CLOCK_MS, 8) &&
            VerifyField<uint64_t>(verifier, VT_ENTRIES, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SLICES, 8) &&
            verifier.EndTable();
   }
 };
@@ -1093,6 +1210,9 @@
   void add_entries(uint64_t entries) {
     fbb_.AddElement<uint64_t>(SnapshotHeader::VT_ENTRIES, entries, 0);
   }
+  void add_slices(uint64_t slices) {
+    fbb_.AddElement<uint64_t>(SnapshotHeader::VT_SLICES, slices, 0);
+  }
   explicit SnapshotHeaderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1109,8 +1229,10 @@
     uint32_t format = 0,
     uint64_t applied_index = 0,
     uint64_t clock_ms = 0,
-    uint64_t entries = 0) {
+    uint64_t entries = 0,
+    uint64_t slices = 0) {
   SnapshotHeaderBuilder builder_(_fbb);
+  builder_.add_slices(slices);
   builder_.add_entries(entries);
   builder_.add_clock_ms(clock_ms);
   builder_.add_applied_index(applied_index);
--- /dev/null
+++ b/libs/claims/src/outcome_archive.cpp
@@ -0,0 +1,147 @@
+#include <limpet/claims/outcome_archive.hpp>
+
+#include <algorithm>
+#include <iterator>
+
+namespace limpet::claims
+{
+
+namespace
+{
+
+constexpr std::uint64_t slices_per_period = 24;
+constexpr std::size_t first_places = 16;
+
+static_assert(sizeof(archived_outcome) == 32);
+
+/// Returns the place of the key or the free one where it belongs. There is
+/// always a free one.
+std::size_t place_of(const std::vector<archived_outcome>& places,
+                     const claim_key& key)
+{
+    const std::size_t mask = places.size() - 1;
+    std::size_t place = key.high & mask;
+    while (places[place].used && places[place].key != key)
+    {
+        place = (place + 1) & mask;
+    }
+    return place;
+}
+
+} // namespace
+
+void outcome_archive::slice::add(const archived_outcome& value)
+{
+    // At most three quarters of the places are taken.
+    if (4 * (count + 1) > 3 * places.size())
+    {
+        grow();
+    }
+    archived_outcome& place = places[place_of(places, value.key)];
+    count += place.used ? 0 : 1;
+    place = value;
+    place.used = true;
+}
+
+void outcome_archive::slice::grow()
+{
+    std::vector<archived_outcome> larger(
+        std::max(first_places, 2 * places.size()));
+    for (const archived_outcome& each : places)
+    {
+        if (each.used)
+        {
+            larger[place_of(larger, each.key)] = each;
+        }
+    }
+    places = std::move(larger);
+}
+
+const archived_outcome* outcome_archive::slice::find(const claim_key& key) const
+{
+    const archived_outcome& place = places[place_of(places, key)];
+    return place.used ? &place : nullptr;
+}
+
+std::vector<archived_outcome> outcome_archive::slice::sorted() const
+{
+    std::vector<archived_outcome> out;
+    out.reserve(count);
+    std::copy_if(places.begin(),
+                 places.end(),
+                 std::back_inserter(out),
+                 [](const archived_outcome& each)
+                 {
+                     return each.used;
+                 });
+    std::sort(out.begin(),
+              out.end(),
+              [](const archived_outcome& left, const archived_outcome& right)
+              {
+                  return left.key < right.key;
+              });
+    return out;
+}
+
+outcome_archive::outcome_archive(milliseconds period)
+    : m_period_ms(static_cast<std::uint64_t>(period.count())),
+      m_slice_ms(std::max<std::uint64_t>(1, m_period_ms / slices_per_period))
+{
+}
+
+void outcome_archive::add(const archived_outcome& value, std::uint64_t from_ms)
+{
+    const std::uint64_t number = from_ms / m_slice_ms;
+    if (m_slices.empty() || m_slices.back().number < number)
+    {
+        m_slices.push_back({number, 0, {}});
+    }
+    m_slices.back().add(value);
+}
+
+const archived_outcome* outcome_archive::find(const claim_key& key) const
+{
+    for (const slice& each : m_slices)
+    {
+        const archived_outcome* found = each.find(key);
+        if (found != nullptr)
+        {
+            return found;
+        }
+    }
+    return nullptr;
+}
+
+void outcome_archive::expire(std::uint64_t now_ms)
+{
+    const auto over = [&](const slice& each)
+    {
+        return (each.number + 1) * m_slice_ms + m_period_ms <= now_ms;
+    };
+    while (!m_slices.empty() && over(m_slices.front()))
+    {
+        m_slices.pop_front();
+    }
+}
+
+std::uint64_t outcome_archive::bytes() const noexcept
+{
+    std::uint64_t total = 0;
+    for (const slice& each : m_slices)
+    {
+        total += each.places.size() * sizeof(archived_outcome);
+    }
+    return total;
+}
+
+std::size_t outcome_archive::size() const noexcept
+{
+    std::size_t total = 0;
+    for (const slice& each : m_slices)
+    {
+        total += each.count;
+    }
+    return total;
+}
+
+} // namespace limpet::claims
