--- a/libs/membership/src/ownership_tracker.cpp
+++ b/libs/membership/src/ownership_tracker.cpp
@@ -94,7 +94,9 @@
                     has_removed_routers(server.data_centre);
     const auto* former = m_view->owner_of(server.engine);
     held.former = former == nullptr ? 0 : key_of(former->self.vm);
-    if (former == nullptr && has_long_lease(now))
+    // A first record of an engine that no router owned yet.
+    const bool is_new = former == nullptr && entry.engine->version == 0;
+    if (is_new && has_long_lease(now))
     {
         held.full_at = now;
     }
