--- a/libs/admission/include/limpet/admission/dispatcher.hpp
+++ b/libs/admission/include/limpet/admission/dispatcher.hpp
@@ -37,6 +37,8 @@
     duration first_token_budget = milliseconds(420);
     /// Longest wait at a warm engine while another may have room.
     duration longest_patience = milliseconds(300);
+    /// Prefill time that a warm engine has to save for a wait.
+    duration worthwhile_saving = milliseconds(30);
     /// Oldest report that the engine may send about itself.
     duration report_lag = seconds(6);
 };
@@ -130,6 +132,9 @@
     /// Returns the number of waiting requests.
     std::size_t waiting() const noexcept;
 
+    /// Returns the number of further requests that could start now.
+    std::uint32_t room(const placement::load_bound& bound) const;
+
     /// Returns the adaptive limit.
     std::uint32_t limit() const noexcept;
 
--- a/libs/admission/src/dispatcher.cpp
+++ b/libs/admission/src/dispatcher.cpp
@@ -73,7 +73,7 @@
 {
     check_overdue(now);
     std::vector<dispatch_action> actions;
-    const std::uint32_t slots = std::min(m_limit.limit(), bound.bound(now));
+    const std::uint32_t slots = std::min(m_limit.limit(), bound.bound());
     start_waiting(slots, now, actions);
     send_elsewhere(slots, now, actions);
     refuse_hopeless(slots, now, actions);
@@ -152,6 +152,13 @@
     return m_queue.size();
 }
 
+std::uint32_t dispatcher::room(const placement::load_bound& bound) const
+{
+    const std::uint32_t slots = std::min(m_limit.limit(), bound.bound());
+    const auto used = static_cast<std::uint32_t>(in_flight() + waiting());
+    return m_in_service && used < slots ? slots - used : 0;
+}
+
 std::uint32_t dispatcher::limit() const noexcept
 {
     return m_limit.limit();
@@ -176,10 +183,15 @@
     }
     const duration warm = m_limit.expected_first_token(uncached_part(request));
     const duration cold = m_limit.expected_first_token(request.prompt);
-    const duration saved = cold - warm;
-    const duration left = m_settings.first_token_budget - warm;
-    return std::clamp(
-        std::min(saved, left), duration::zero(), m_settings.longest_patience);
+    if (cold - warm < m_settings.worthwhile_saving)
+    {
+        return duration::zero();
+    }
+    // A wait must not push a request over the budget that it would keep at a
+    // cold engine; one that would not keep it there can only gain.
+    const duration budget = m_settings.first_token_budget;
+    const duration left = cold <= budget ? budget - cold : budget - warm;
+    return std::clamp(left, duration::zero(), m_settings.longest_patience);
 }
 
 duration dispatcher::expected_wait(std::size_t ahead, std::uint32_t slots) const
--- a/libs/placement/include/limpet/placement/load_bound.hpp
+++ b/libs/placement/include/limpet/placement/load_bound.hpp
@@ -4,104 +4,117 @@
 #pragma once
 
 #include <limpet/base/ids.hpp>
+#include <limpet/base/strong_type.hpp>
 #include <limpet/base/units.hpp>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
 namespace limpet::placement
 {
 
-/// Lowest value within a sliding window. Not thread-safe.
-class window_minimum
-{
-public:
-    explicit window_minimum(duration window);
+/// Number of a period of the VMs' common clock. All routers count their load
+/// at the start of each epoch, so that the counts add up to a load that the
+/// fleet truly had.
+using load_epoch = strong_type<struct load_epoch_tag, std::uint64_t>;
 
-    /// Records that the value holds from now on. Times must not fall.
-    void record(std::uint64_t value, time_point now);
+/// Length of an epoch, and so the interval of load digests.
+inline constexpr duration load_epoch_length = milliseconds(250);
 
-    /// Returns the lowest value held at any time within the window before
-    /// now, 0 if none was recorded before the window's start.
-    std::uint64_t lowest(time_point now);
-
-private:
-    void drop_old(time_point now);
+/// Most that the VMs' clocks may be apart. A digest carries the lowest load
+/// within this time of the epoch's start.
+inline constexpr duration load_clock_skew = milliseconds(25);
 
-    duration m_window;
-    /// Values that rise, each with the time from which it held.
-    std::deque<std::pair<time_point, std::uint64_t>> m_values;
-    time_point m_started = time_point::max();
-};
+/// Returns the epoch of a time on the VMs' common clock.
+load_epoch epoch_of(duration since_clock_start);
 
 /// Parameters of the load bound.
 struct load_bound_settings
 {
     /// Highest load of an engine as a multiple of the mean.
     double multiple = 1.25;
-    /// Age up to which a digest stands for the present load.
-    duration lag = seconds(1);
-    /// Time in which an older digest's load falls to 1/e, as requests finish
-    /// without new ones.
+    /// Epochs, the present one included, whose highest mean counts. They
+    /// began within the last second.
+    std::uint64_t epochs = 3;
+    /// Time in which the load of a router without recent digests is assumed
+    /// to fall to 1/e, as requests finish without new ones.
     duration fall_time = seconds(4);
     /// How long an engine that vanished from the list still counts, because
     /// lists disagree for seconds.
     duration list_hold = seconds(6);
 };
 
-/// Load of one router's engines of a model.
+/// Load of one router's engines of a model at the start of an epoch.
 struct load_digest
 {
-    /// The lowest number in flight within load_window before taken_at.
+    load_epoch epoch;
+    /// The router's engines in service.
+    std::uint32_t engines = 0;
+    /// The lowest number in flight on them within load_clock_skew of the
+    /// epoch's start.
     std::uint64_t in_flight = 0;
-    time_point taken_at;
 };
 
-/// Window of the minimum that a digest carries. Longer than the interval of
-/// digests and their delay together, so that the windows of all current
-/// digests share an instant: the sum of the minimums is then at most the true
-/// sum at that instant.
-inline constexpr duration load_window = milliseconds(500);
-
-/// Interval at which a router sends its digests.
-inline constexpr duration load_digest_interval = milliseconds(250);
-
 /// Bound of one model's engines, kept by each router that owns some of them.
-/// It never exceeds the set multiple of the true mean within the digests' lag.
-/// Not thread-safe.
+/// While digests arrive in time it never exceeds the set multiple of the
+/// highest true mean of the last second. Not thread-safe.
 class load_bound
 {
 public:
     explicit load_bound(load_bound_settings settings);
 
-    /// Sets the number of engines in service of the model.
+    /// Sets the number of engines in service on the router's list. Digests
+    /// know of joins sooner, lists of routers that left: the higher counts.
     void set_engines(std::size_t count, time_point now);
 
-    /// Takes the source's digest unless a later one is known. The source is a
-    /// router, or a data centre whose sum arrives as one.
-    void report(const vm_id& source, load_digest digest);
+    /// Takes a source's digest. The source is a router, or a data centre
+    /// whose sum arrives as one.
+    void report(const vm_id& source, const load_digest& digest);
 
     /// Forgets a source that left.
     void forget(const vm_id& source);
 
-    /// Returns a lower bound of the true mean in flight.
-    double mean(time_point now) const;
+    /// Sets the present epoch and time. Call at least once in an epoch, and
+    /// after the other calls.
+    void advance(load_epoch present, time_point now);
+
+    /// Returns a lower bound of the highest true mean in flight within the
+    /// last second.
+    double mean() const noexcept;
 
     /// Returns the most requests that an engine may have in flight, at least
     /// 1.
-    std::uint32_t bound(time_point now) const;
+    std::uint32_t bound() const noexcept;
 
 private:
-    double count(time_point now) const;
+    /// Digests of one source by epoch modulo the array's size.
+    struct history
+    {
+        std::array<load_digest, 8> digests{};
+        load_epoch latest;
+
+        const load_digest* find(load_epoch epoch) const;
+    };
+
+    bool is_recent(const history& source) const;
+    /// Returns the mean at the epoch, or nothing while digests of it are
+    /// still to come.
+    std::optional<double> mean_at(load_epoch epoch) const;
+    double faded_load(const history& source, load_epoch epoch) const;
+    std::size_t listed_engines() const;
 
     load_bound_settings m_settings;
-    std::unordered_map<vm_id, load_digest> m_digests;
+    std::unordered_map<vm_id, history> m_sources;
     /// Numbers of engines, falling, each with the time until which it counts.
     std::deque<std::pair<std::size_t, time_point>> m_former;
     std::size_t m_engines = 0;
+    load_epoch m_present;
+    double m_mean = 0;
 };
 
 } // namespace limpet::placement
--- a/libs/placement/include/limpet/placement/route.hpp
+++ b/libs/placement/include/limpet/placement/route.hpp
@@ -18,7 +18,12 @@
     /// was their first choice before.
     duration settling = std::chrono::minutes(10);
     /// Engines that a request tries before it queues at one of them.
-    std::size_t tries = 4;
+    std::size_t tries = 5;
+    /// Engines with room among them.
+    std::size_t spare_tries = 2;
+    /// Whether the first turn of a chat goes to an engine with room rather
+    /// than to the chat's first rendezvous choice.
+    bool spread_new_chats = true;
 };
 
 /// What the entry router knows about a request when it places it.
@@ -34,9 +39,15 @@
 /// The engines to try, in order.
 struct route
 {
-    /// Owner of the chat's directory entry: the first rendezvous choice.
+    /// The first rendezvous choice.
     engine_index home = 0;
     engine_order order;
+    /// Engines whose owners keep the chat's directory entry: the first two
+    /// rendezvous choices and the settled first choice. When the first choice
+    /// leaves or another engine joins, the next one asked still knows.
+    engine_order keepers;
+    /// Number of engines at the front of the order that may hold the chat.
+    std::size_t warm = 0;
 };
 
 /// Returns the route of a request. The caller's hint comes first, then the
--- a/libs/placement/src/load_bound.cpp
+++ b/libs/placement/src/load_bound.cpp
@@ -6,113 +6,134 @@
 namespace limpet::placement
 {
 
-window_minimum::window_minimum(duration window)
-    : m_window(window)
+load_epoch epoch_of(duration since_clock_start)
 {
+    return load_epoch(
+        static_cast<std::uint64_t>(since_clock_start / load_epoch_length));
 }
 
-void window_minimum::record(std::uint64_t value, time_point now)
+load_bound::load_bound(load_bound_settings settings)
+    : m_settings(settings)
 {
-    if (m_started == time_point::max())
-    {
-        m_started = now;
-    }
-    while (!m_values.empty() && m_values.back().second >= value)
-    {
-        now = std::min(now, m_values.back().first);
-        m_values.pop_back();
-    }
-    m_values.emplace_back(now, value);
 }
 
-std::uint64_t window_minimum::lowest(time_point now)
+void load_bound::set_engines(std::size_t count, time_point now)
 {
-    drop_old(now);
-    if (m_values.empty() || m_started > now - m_window)
+    while (!m_former.empty() && m_former.back().first <= m_engines)
     {
-        return 0;
+        m_former.pop_back();
+    }
+    if (count < m_engines)
+    {
+        m_former.emplace_back(m_engines, now + m_settings.list_hold);
     }
-    return m_values.front().second;
+    m_engines = count;
 }
 
-void window_minimum::drop_old(time_point now)
+void load_bound::report(const vm_id& source, const load_digest& digest)
 {
-    // A value held until the next one was recorded.
-    while (m_values.size() > 1 && m_values[1].first <= now - m_window)
+    history& known = m_sources[source];
+    load_digest& place =
+        known.digests[digest.epoch.get() % known.digests.size()];
+    if (digest.epoch >= place.epoch)
     {
-        m_values.pop_front();
+        place = digest;
     }
+    known.latest = std::max(known.latest, digest.epoch);
 }
 
-load_bound::load_bound(load_bound_settings settings)
-    : m_settings(settings)
+void load_bound::forget(const vm_id& source)
 {
+    m_sources.erase(source);
 }
 
-void load_bound::set_engines(std::size_t count, time_point now)
+void load_bound::advance(load_epoch present, time_point now)
 {
-    while (!m_former.empty() && m_former.back().first <= m_engines)
-    {
-        m_former.pop_back();
-    }
-    if (count < m_engines)
-    {
-        m_former.emplace_back(m_engines, now + m_settings.list_hold);
-    }
+    m_present = present;
     while (!m_former.empty() && m_former.front().second <= now)
     {
         m_former.pop_front();
     }
-    m_engines = count;
+    double highest = 0;
+    const std::uint64_t back = std::min(m_settings.epochs, present.get() + 1);
+    for (std::uint64_t age = 0; age < back; ++age)
+    {
+        const auto mean = mean_at(load_epoch(present.get() - age));
+        highest = std::max(highest, mean.value_or(0));
+    }
+    m_mean = highest;
 }
 
-void load_bound::report(const vm_id& source, load_digest digest)
+double load_bound::mean() const noexcept
 {
-    load_digest& known = m_digests[source];
-    if (digest.taken_at >= known.taken_at)
-    {
-        known = digest;
-    }
+    return m_mean;
 }
 
-void load_bound::forget(const vm_id& source)
+std::uint32_t load_bound::bound() const noexcept
 {
-    m_digests.erase(source);
+    const double highest = std::ceil(m_settings.multiple * m_mean - 1e-9);
+    return static_cast<std::uint32_t>(std::max(1.0, highest));
 }
 
-double load_bound::count(time_point now) const
+const load_digest* load_bound::history::find(load_epoch epoch) const
 {
-    std::size_t highest = m_engines;
-    for (const auto& [engines, until] : m_former)
+    const load_digest& place = digests[epoch.get() % digests.size()];
+    return place.epoch == epoch ? &place : nullptr;
+}
+
+bool load_bound::is_recent(const history& source) const
+{
+    return source.latest.get() + m_settings.epochs > m_present.get();
+}
+
+std::optional<double> load_bound::mean_at(load_epoch epoch) const
+{
+    double sum = 0;
+    std::size_t reported = 0;
+    for (const auto& [id, source] : m_sources)
     {
-        if (until > now)
+        const load_digest* digest = source.find(epoch);
+        if (digest != nullptr)
+        {
+            sum += static_cast<double>(digest->in_flight);
+            reported += digest->engines;
+        }
+        else if (is_recent(source))
+        {
+            // Its digest is on the way: this epoch's sum is not known yet.
+            return std::nullopt;
+        }
+        else
         {
-            highest = std::max(highest, engines);
+            sum += faded_load(source, epoch);
+            reported += source.find(source.latest)->engines;
         }
     }
-    return static_cast<double>(highest);
+    const std::size_t engines = std::max(listed_engines(), reported);
+    return engines > 0 ? sum / static_cast<double>(engines) : 0;
 }
 
-double load_bound::mean(time_point now) const
+double load_bound::faded_load(const history& source, load_epoch epoch) const
 {
-    double sum = 0;
-    for (const auto& [source, digest] : m_digests)
+    const load_digest* last = source.find(source.latest);
+    if (last == nullptr || source.latest > epoch)
     {
-        const duration over = now - digest.taken_at - m_settings.lag;
-        const double fall = over <= duration::zero()
-                                ? 1
-                                : std::exp(-to_seconds(over) /
-                                           to_seconds(m_settings.fall_time));
-        sum += fall * static_cast<double>(digest.in_flight);
+        return 0;
     }
-    const double engines = count(now);
-    return engines > 0 ? sum / engines : 0;
+    const auto missing = static_cast<double>(epoch.get() - source.latest.get());
+    const double age = missing * to_seconds(load_epoch_length);
+    const double fall = std::exp(-age / to_seconds(m_settings.fall_time));
+    return fall * static_cast<double>(last->in_flight);
 }
 
-std::uint32_t load_bound::bound(time_point now) const
+std::size_t load_bound::listed_engines() const
 {
-    const double highest = std::ceil(m_settings.multiple * mean(now) - 1e-9);
-    return static_cast<std::uint32_t>(std::max(1.0, highest));
+    std::size_t listed = m_engines;
+    for (const auto& [engines, until] : m_former)
+    {
+        listed = std::max(listed, engines);
+    }
+    return listed;
 }
 
 } // namespace limpet::placement
--- a/libs/placement/src/route.cpp
+++ b/libs/placement/src/route.cpp
@@ -41,6 +41,17 @@
     {
         append_once(result.order, *found.settled);
     }
+    append_once(result.order, result.home);
+    append_once(result.keepers, result.home);
+    if (found.order.size() > 1)
+    {
+        append_once(result.keepers, found.order[1]);
+    }
+    if (found.settled)
+    {
+        append_once(result.keepers, *found.settled);
+    }
+    result.warm = result.order.size();
     for (const engine_index engine : found.order)
     {
         append_once(result.order, engine);
