--- a/libs/storage/src/bytes.hpp
+++ b/libs/storage/include/limpet/storage/bytes.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// Little-endian encoding of the storage's records.
+/// Little-endian encoding of stored records.
 
 #pragma once
 
--- a/libs/storage/src/record_codec.cpp
+++ b/libs/storage/src/record_codec.cpp
@@ -1,8 +1,7 @@
 #include "record_codec.hpp"
 
-#include "bytes.hpp"
-
 #include <limpet/base/hash.hpp>
+#include <limpet/storage/bytes.hpp>
 
 namespace limpet::storage
 {
