--- a/libs/base/include/limpet/base/strong_type.hpp
+++ b/libs/base/include/limpet/base/strong_type.hpp
@@ -31,7 +31,8 @@
         return m_value;
     }
 
-    // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on the operator.
+    // The check mistakes the rewritten comparisons with 0 for null pointers.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const strong_type&, const strong_type&) = default;
 
 private:
