--- /dev/null
+++ b/libs/consensus/interleavings/interleavings_test.cpp
@@ -0,0 +1,382 @@
+/// \file
+/// Seeded random interleavings of the consensus and storage code under groups
+/// of faults. LIMPET_INTERLEAVINGS sets their number, LIMPET_SEED the first
+/// seed; a failure prints its seed.
+
+#define BOOST_TEST_MODULE consensus_interleavings
+
+#include <limpet/consensus/testing/fake_group.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+
+using namespace limpet;
+using namespace limpet::consensus;
+using namespace limpet::consensus::testing;
+
+namespace
+{
+
+constexpr std::uint64_t default_interleavings = 10'000;
+constexpr int rounds = 16;
+constexpr int steps_in_round = 5;
+constexpr double clock_drift = 0.05;
+const duration longest_repair = seconds(60);
+
+/// Which faults a run draws from.
+struct fault_group
+{
+    bool network = false;
+    bool partitions = false;
+    bool crashes = false;
+    bool clocks = false;
+    bool wipes = false;
+    bool members = false;
+};
+
+std::uint64_t number_from(const char* variable, std::uint64_t fallback)
+{
+    const char* text = std::getenv(variable);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+/// One run: a group is founded, faults come and go while clients propose and
+/// read, then all faults end and the group must become whole again.
+class interleaving
+{
+public:
+    interleaving(std::uint64_t seed, const fault_group& faults)
+        : m_faults(faults),
+          m_random(seed),
+          m_group(options(seed))
+    {
+    }
+
+    std::string run()
+    {
+        set_clocks();
+        if (!become_whole())
+        {
+            return "group is not founded";
+        }
+        for (int round = 0; round < rounds; ++round)
+        {
+            make_faults();
+            run_clients();
+            if (!violation().empty())
+            {
+                return violation();
+            }
+        }
+        m_group.heal();
+        if (!become_whole())
+        {
+            return violation().empty() ? "group does not recover" : violation();
+        }
+        return violation();
+    }
+
+private:
+    group_options options(std::uint64_t seed)
+    {
+        group_options result;
+        result.seed = seed;
+        result.vms = m_random.chance(0.2) ? 5 : 3;
+        result.consensus.heartbeat_interval = milliseconds(60);
+        result.consensus.election_timeout = milliseconds(300);
+        result.consensus.clock_drift = clock_drift;
+        result.consensus.trailing_entries = m_random.below(8);
+        result.consensus.snapshot_chunk_bytes = 48;
+        result.consensus.window_entries = 1 + m_random.below(16);
+        result.consensus.append_bytes = 20 + m_random.below(200);
+        result.snapshot_interval = 2 + m_random.below(20);
+        result.snapshot_padding = m_random.below(200);
+        if (m_random.chance(0.3))
+        {
+            result.highest_disk_time = milliseconds(150);
+        }
+        return result;
+    }
+
+    const std::string& violation() const
+    {
+        return m_group.checker().violation();
+    }
+
+    std::size_t any_vm()
+    {
+        return m_random.below(m_group.size());
+    }
+
+    bool become_whole()
+    {
+        const auto is_over = [this]
+        {
+            readd_members();
+            return !violation().empty() || m_group.is_whole();
+        };
+        return m_group.run_until(is_over, longest_repair);
+    }
+
+    /// An operator adds again what change_members() removed.
+    void readd_members()
+    {
+        const auto leader = m_group.leader();
+        for (std::size_t vm = 0; leader && vm < m_group.size(); ++vm)
+        {
+            const replica_id id = m_group.id(vm);
+            const membership members = m_group.view(*leader).members;
+            if (!members.contains(id))
+            {
+                m_group.change(*leader, {change_kind::add_learner, id});
+            }
+        }
+    }
+
+    void set_clocks()
+    {
+        for (std::size_t vm = 0; m_faults.clocks && vm < m_group.size(); ++vm)
+        {
+            const double side = m_random.chance(0.5) ? 1 : -1;
+            m_group.set_drift(vm, side * clock_drift);
+        }
+    }
+
+    void make_faults()
+    {
+        if (m_faults.network && m_random.chance(0.3))
+        {
+            m_group.network().loss = m_random.chance(0.5) ? 0.2 : 0.0;
+            m_group.network().duplication = m_random.chance(0.5) ? 0.2 : 0.0;
+            m_group.network().highest_delay =
+                milliseconds(2 + m_random.below(250));
+        }
+        if (m_faults.partitions && m_random.chance(0.3))
+        {
+            partition();
+        }
+        if (m_faults.crashes && m_random.chance(0.4))
+        {
+            break_process();
+        }
+        if (m_faults.wipes && m_random.chance(0.2))
+        {
+            wipe();
+        }
+        if (m_faults.members && m_random.chance(0.5))
+        {
+            change_members();
+        }
+    }
+
+    void partition()
+    {
+        const std::size_t vm = any_vm();
+        const auto leader = m_group.leader();
+        switch (m_random.below(6))
+        {
+        case 0:
+            m_group.cut(vm, any_vm(), true);
+            break;
+        case 1:
+            m_group.isolate(vm, true);
+            break;
+        case 2:
+            // One that lags returns just as the leader goes.
+            join_all();
+            m_group.isolate(leader.value_or(vm), true);
+            break;
+        case 3:
+            m_group.isolate(leader.value_or(vm), true);
+            break;
+        case 4:
+            // Others still hear the leader, one does not.
+            m_group.cut(leader.value_or(vm), vm, true);
+            m_group.cut(vm, leader.value_or(vm), true);
+            break;
+        default:
+            join_all();
+        }
+    }
+
+    void join_all()
+    {
+        for (std::size_t vm = 0; vm < m_group.size(); ++vm)
+        {
+            m_group.isolate(vm, false);
+        }
+    }
+
+    void break_process()
+    {
+        const std::size_t vm = any_vm();
+        switch (m_random.below(5))
+        {
+        case 0:
+            m_group.restart(vm);
+            break;
+        case 1:
+            m_group.disk(vm).faults().crash_after = m_random.below(20);
+            break;
+        case 2:
+            m_group.disk(vm).faults().fail_sync_after = m_random.below(5);
+            break;
+        case 3:
+            m_group.crash(vm);
+            break;
+        default:
+            if (!m_group.is_up(vm))
+            {
+                m_group.restart(vm);
+            }
+        }
+    }
+
+    /// Whether every VM knows all present replicas as the voters.
+    bool is_settled() const
+    {
+        for (std::size_t vm = 0; vm < m_group.size(); ++vm)
+        {
+            if (!m_group.is_up(vm))
+            {
+                return false;
+            }
+            const membership members = m_group.view(vm).members;
+            if (members.voters() != m_group.size())
+            {
+                return false;
+            }
+            for (std::size_t other = 0; other < m_group.size(); ++other)
+            {
+                if (!members.is_voter(m_group.id(other)))
+                {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    /// A second disk is lost only once the first replica is repaired: with
+    /// two of three gone there is no quorum to recover with.
+    void wipe()
+    {
+        if (!is_settled())
+        {
+            return;
+        }
+        const std::size_t vm = any_vm();
+        m_group.crash(vm);
+        m_group.wipe(vm);
+        m_group.restart(vm);
+        m_last_wipe = m_group.now();
+    }
+
+    void change_members()
+    {
+        const auto leader = m_group.leader();
+        if (!leader)
+        {
+            return;
+        }
+        const auto kind = static_cast<change_kind>(m_random.below(3));
+        // A removal beside a lost disk would take the quorum away.
+        const bool is_risky =
+            m_group.now() < m_last_wipe + seconds(2) || !is_settled();
+        if (m_faults.wipes && kind == change_kind::remove && is_risky)
+        {
+            return;
+        }
+        m_group.change(*leader, {kind, m_group.id(any_vm())});
+        if (m_random.chance(0.3))
+        {
+            m_group.hand_over(*leader);
+        }
+    }
+
+    /// Short steps let requests meet every moment of an election.
+    void run_clients()
+    {
+        const auto longest = 2 + m_random.below(60);
+        for (int i = 0; i < steps_in_round && violation().empty(); ++i)
+        {
+            make_requests();
+            m_group.run_for(milliseconds(m_random.below(longest)));
+        }
+    }
+
+    void make_requests()
+    {
+        for (std::uint64_t i = m_random.below(3); i > 0; --i)
+        {
+            const auto leader = m_group.leader();
+            const bool at_leader = leader && m_random.chance(0.7);
+            m_group.propose(at_leader ? *leader : any_vm());
+        }
+        for (std::size_t vm = 0; vm < m_group.size(); ++vm)
+        {
+            m_group.read(vm);
+        }
+    }
+
+    fault_group m_faults;
+    random_source m_random;
+    fake_group m_group;
+    time_point m_last_wipe;
+};
+
+void run_all(const fault_group& faults)
+{
+    const auto first = number_from("LIMPET_SEED", 1);
+    const auto count =
+        number_from("LIMPET_INTERLEAVINGS", default_interleavings);
+    for (std::uint64_t seed = first; seed < first + count; ++seed)
+    {
+        const std::string violation = interleaving(seed, faults).run();
+        BOOST_REQUIRE_MESSAGE(violation.empty(),
+                              "LIMPET_SEED=" << seed << ": " << violation);
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(network)
+{
+    run_all({.network = true});
+}
+
+BOOST_AUTO_TEST_CASE(partitions)
+{
+    run_all({.network = true, .partitions = true});
+}
+
+BOOST_AUTO_TEST_CASE(crashes)
+{
+    run_all({.partitions = true, .crashes = true});
+}
+
+BOOST_AUTO_TEST_CASE(clocks)
+{
+    run_all({.network = true, .partitions = true, .clocks = true});
+}
+
+BOOST_AUTO_TEST_CASE(wiped_disks)
+{
+    run_all({.network = true, .wipes = true});
+}
+
+BOOST_AUTO_TEST_CASE(members)
+{
+    run_all({.network = true, .members = true});
+}
+
+BOOST_AUTO_TEST_CASE(all)
+{
+    run_all({.network = true,
+             .partitions = true,
+             .crashes = true,
+             .clocks = true,
+             .wipes = true,
+             .members = true});
+}
--- /dev/null
+++ b/libs/consensus/src/fake_group.cpp
@@ -0,0 +1,521 @@
+#include <limpet/consensus/message_codec.hpp>
+#include <limpet/consensus/testing/fake_group.hpp>
+
+#include <algorithm>
+
+namespace limpet::consensus::testing
+{
+
+namespace
+{
+
+/// Local clocks start far apart.
+constexpr std::uint64_t clock_spread_seconds = 1000;
+
+vm_id name_of(std::size_t vm)
+{
+    return vm_id{"vm-" + std::to_string(vm)};
+}
+
+} // namespace
+
+/// One VM: its disk stays, its process comes and goes.
+struct fake_group::vm_state
+{
+    explicit vm_state(std::uint64_t seed)
+        : disk(seed)
+    {
+    }
+
+    storage::testing::fake_disk disk;
+    std::unique_ptr<storage::log_store> store;
+    std::unique_ptr<consensus::node> node;
+    incarnation storage_number;
+    chain_state machine;
+    log_index snapshot;
+    std::vector<persist_request> writes;
+    bool writing = false;
+    /// Number of the process; calls scheduled for an earlier one are void.
+    std::uint64_t starts = 0;
+    duration clock_offset{};
+    double drift = 0;
+    time_point drift_since;
+    std::map<ticket, log_index> reads;
+    std::map<ticket, std::uint64_t> commands;
+    std::uint64_t next_ticket = 1;
+};
+
+fake_group::fake_group(const group_options& options)
+    : m_options(options),
+      m_random(options.seed)
+{
+    for (std::size_t vm = 0; vm < options.vms; ++vm)
+    {
+        m_vms.push_back(std::make_unique<vm_state>(m_random.next()));
+        m_vms[vm]->clock_offset =
+            seconds(1 + m_random.below(clock_spread_seconds));
+        start(vm);
+    }
+}
+
+fake_group::~fake_group() = default;
+
+duration fake_group::random_between(duration low, duration high)
+{
+    const auto spread = static_cast<std::uint64_t>((high - low).count());
+    return low + duration(m_random.below(spread + 1));
+}
+
+time_point fake_group::local_time(const vm_state& state) const
+{
+    const double passed = to_seconds(m_now - state.drift_since);
+    return m_now + state.clock_offset + from_seconds(passed * state.drift);
+}
+
+void fake_group::set_drift(std::size_t vm, double drift)
+{
+    vm_state& state = *m_vms[vm];
+    state.clock_offset = local_time(state) - m_now;
+    state.drift_since = m_now;
+    state.drift = drift;
+}
+
+void fake_group::schedule(duration delay, std::function<void()> call)
+{
+    m_queue.emplace(m_now + delay, std::move(call));
+}
+
+void fake_group::schedule_tick(std::size_t vm)
+{
+    const auto process = m_vms[vm]->starts;
+    schedule(m_options.tick_interval,
+             [this, vm, process]
+             {
+                 if (m_vms[vm]->node && m_vms[vm]->starts == process)
+                 {
+                     step(vm, tick{});
+                     schedule_tick(vm);
+                 }
+             });
+}
+
+void fake_group::start(std::size_t vm)
+{
+    vm_state& state = *m_vms[vm];
+    ++state.starts;
+    state.writes.clear();
+    state.writing = false;
+    state.reads.clear();
+    state.commands.clear();
+    storage::recovered_state found;
+    auto opened = storage::log_store::open(
+        state.disk, {1 << 14}, incarnation{m_next_storage}, found);
+    if (!is_ok(opened))
+    {
+        if (!state.disk.crashed())
+        {
+            m_checker.fail("storage: " + error_of(opened).message);
+        }
+        return;
+    }
+    m_next_storage = std::max(m_next_storage, found.storage.get() + 1);
+    state.store = value_of(std::move(opened));
+    state.storage_number = found.storage;
+    state.machine = chain_state{};
+    state.snapshot = log_index{};
+    if (found.base)
+    {
+        state.machine = chain_state::restore(found.base->data);
+        state.snapshot = found.base->index;
+        m_checker.restored(state.machine);
+    }
+    node_start begin;
+    begin.self = name_of(vm);
+    for (std::size_t i = 0; i < m_options.vms; ++i)
+    {
+        begin.group.push_back(name_of(i));
+    }
+    begin.state = std::move(found);
+    begin.seed = m_random.next();
+    state.node = std::make_unique<consensus::node>(
+        m_options.consensus, std::move(begin), local_time(state));
+    schedule_tick(vm);
+}
+
+void fake_group::step(std::size_t vm, event what)
+{
+    vm_state& state = *m_vms[vm];
+    if (!state.node)
+    {
+        return;
+    }
+    const time_point local = local_time(state);
+    auto work = state.node->step(local, std::move(what));
+    handle(vm, std::move(work));
+    if (state.node)
+    {
+        m_checker.saw_view(state.node->view(local));
+    }
+}
+
+void fake_group::handle(std::size_t vm, actions work)
+{
+    vm_state& state = *m_vms[vm];
+    const auto process = state.starts;
+    for (persist_request& request : work.persists)
+    {
+        state.writes.push_back(std::move(request));
+    }
+    if (!state.writes.empty() && !state.writing)
+    {
+        state.writing = true;
+        const auto delay = random_between(m_options.lowest_disk_time,
+                                          m_options.highest_disk_time);
+        schedule(delay,
+                 [this, vm, process]
+                 {
+                     if (m_vms[vm]->starts == process)
+                     {
+                         write_disk(vm);
+                     }
+                 });
+    }
+    for (const message& content : work.sends)
+    {
+        send(vm, content);
+    }
+    apply(vm, work);
+}
+
+void fake_group::apply(std::size_t vm, const actions& work)
+{
+    vm_state& state = *m_vms[vm];
+    if (work.restore)
+    {
+        state.machine = chain_state::restore(work.restore->data);
+        state.snapshot = work.restore->index;
+        m_checker.restored(state.machine);
+    }
+    for (const storage::log_entry& entry : work.apply)
+    {
+        state.machine.apply(entry);
+        m_checker.applied(entry, state.machine);
+    }
+    for (const request_result& result : work.results)
+    {
+        const auto read = state.reads.find(result.id);
+        const auto command = state.commands.find(result.id);
+        const bool done = result.state == request_state::done;
+        if (read != state.reads.end() && done)
+        {
+            m_checker.read_done(read->second, state.machine);
+        }
+        if (command != state.commands.end() && done)
+        {
+            m_checker.acknowledged(command->second, result.index);
+        }
+        if (command != state.commands.end() &&
+            result.state == request_state::refused)
+        {
+            m_checker.refused(command->second);
+        }
+    }
+    const auto since = state.machine.applied.get() - state.snapshot.get();
+    if (m_options.snapshot_interval > 0 && since >= m_options.snapshot_interval)
+    {
+        state.snapshot = state.machine.applied;
+        step(vm,
+             compact{state.snapshot,
+                     state.machine.save(m_options.snapshot_padding)});
+    }
+}
+
+void fake_group::send(std::size_t vm, const message& content)
+{
+    const auto bytes = encode_message(content);
+    ++m_sent.messages;
+    m_sent.bytes += bytes.size();
+    if (std::holds_alternative<snapshot_chunk>(content.body))
+    {
+        m_sent.snapshot_bytes += bytes.size();
+    }
+    for (std::size_t to = 0; to < m_vms.size(); ++to)
+    {
+        if (name_of(to) != content.to.vm || m_cuts[{vm, to}])
+        {
+            continue;
+        }
+        const int copies = m_random.chance(m_network.duplication) ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy)
+        {
+            if (m_random.chance(m_network.loss))
+            {
+                continue;
+            }
+            schedule(
+                random_between(m_network.lowest_delay, m_network.highest_delay),
+                [this, vm, to, bytes]
+                {
+                    if (!m_cuts[{vm, to}])
+                    {
+                        deliver(to, bytes);
+                    }
+                });
+        }
+    }
+}
+
+void fake_group::deliver(std::size_t vm, const std::vector<std::uint8_t>& bytes)
+{
+    auto content = decode_message(bytes);
+    if (!content)
+    {
+        m_checker.fail("encoded message is not decoded");
+        return;
+    }
+    step(vm, message_received{std::move(*content)});
+}
+
+status fake_group::write_all(vm_state& state)
+{
+    for (const persist_request& request : state.writes)
+    {
+        if (request.hard)
+        {
+            state.store->set_hard_state(*request.hard);
+        }
+        if (!request.entries.empty())
+        {
+            state.store->append(request.entries);
+        }
+        if (!request.snapshot)
+        {
+            continue;
+        }
+        auto saved = state.store->save_snapshot(*request.snapshot);
+        if (!is_ok(saved))
+        {
+            return saved;
+        }
+    }
+    return state.store->sync();
+}
+
+void fake_group::write_disk(std::size_t vm)
+{
+    vm_state& state = *m_vms[vm];
+    state.writing = false;
+    if (!state.node || state.writes.empty())
+    {
+        return;
+    }
+    const persist_number last = state.writes.back().number;
+    if (!is_ok(write_all(state)))
+    {
+        crash(vm);
+        return;
+    }
+    state.writes.clear();
+    step(vm, persisted{last});
+}
+
+void fake_group::run_for(duration span)
+{
+    const time_point end = m_now + span;
+    while (!m_queue.empty() && m_queue.begin()->first <= end)
+    {
+        auto next = m_queue.extract(m_queue.begin());
+        m_now = next.key();
+        next.mapped()();
+    }
+    m_now = end;
+}
+
+bool fake_group::run_until(const std::function<bool()>& condition,
+                           duration limit)
+{
+    const time_point end = m_now + limit;
+    while (!condition())
+    {
+        if (m_now >= end)
+        {
+            return false;
+        }
+        run_for(m_options.tick_interval);
+    }
+    return true;
+}
+
+std::uint64_t fake_group::propose(std::size_t vm, std::size_t bytes)
+{
+    const auto number = m_next_command++;
+    if (is_up(vm))
+    {
+        const ticket id{m_vms[vm]->next_ticket++};
+        m_vms[vm]->commands[id] = number;
+        step(vm, consensus::propose{{{id, make_command(number, bytes)}}});
+    }
+    return number;
+}
+
+void fake_group::propose_many(std::size_t vm,
+                              std::size_t count,
+                              std::size_t bytes)
+{
+    consensus::propose batch;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const auto number = m_next_command++;
+        const ticket id{m_vms[vm]->next_ticket++};
+        m_vms[vm]->commands[id] = number;
+        batch.proposals.push_back({id, make_command(number, bytes)});
+    }
+    step(vm, std::move(batch));
+}
+
+void fake_group::read(std::size_t vm)
+{
+    if (is_up(vm))
+    {
+        const ticket id{m_vms[vm]->next_ticket++};
+        m_vms[vm]->reads[id] = m_checker.read_begun();
+        step(vm, read_barrier{id});
+    }
+}
+
+void fake_group::change(std::size_t vm, const membership_change& change)
+{
+    step(vm, change_membership{ticket{m_vms[vm]->next_ticket++}, change});
+}
+
+void fake_group::hand_over(std::size_t vm)
+{
+    step(vm, consensus::hand_over{});
+}
+
+void fake_group::crash(std::size_t vm)
+{
+    vm_state& state = *m_vms[vm];
+    ++state.starts;
+    state.node.reset();
+    state.store.reset();
+}
+
+void fake_group::restart(std::size_t vm)
+{
+    vm_state& state = *m_vms[vm];
+    crash(vm);
+    state.disk.restart();
+    start(vm);
+}
+
+void fake_group::wipe(std::size_t vm)
+{
+    m_vms[vm]->disk.wipe();
+    // A fresh incarnation is higher than any before.
+    ++m_next_storage;
+}
+
+void fake_group::cut(std::size_t from, std::size_t to, bool is_cut)
+{
+    m_cuts[{from, to}] = is_cut;
+}
+
+void fake_group::isolate(std::size_t vm, bool is_cut)
+{
+    for (std::size_t other = 0; other < m_vms.size(); ++other)
+    {
+        cut(vm, other, is_cut);
+        cut(other, vm, is_cut);
+    }
+}
+
+void fake_group::heal()
+{
+    m_cuts.clear();
+    m_network = network_faults{};
+    for (std::size_t vm = 0; vm < m_vms.size(); ++vm)
+    {
+        m_vms[vm]->disk.faults() = {};
+        if (!is_up(vm))
+        {
+            restart(vm);
+        }
+    }
+}
+
+bool fake_group::is_up(std::size_t vm) const
+{
+    return m_vms[vm]->node != nullptr;
+}
+
+std::size_t fake_group::size() const
+{
+    return m_vms.size();
+}
+
+std::uint64_t fake_group::starts(std::size_t vm) const
+{
+    return m_vms[vm]->starts;
+}
+
+node_view fake_group::view(std::size_t vm) const
+{
+    return m_vms[vm]->node->view(local_time(*m_vms[vm]));
+}
+
+replica_id fake_group::id(std::size_t vm) const
+{
+    return {name_of(vm), m_vms[vm]->storage_number};
+}
+
+storage::testing::fake_disk& fake_group::disk(std::size_t vm)
+{
+    return m_vms[vm]->disk;
+}
+
+std::optional<std::size_t> fake_group::leader() const
+{
+    std::optional<std::size_t> found;
+    term_number highest;
+    for (std::size_t vm = 0; vm < m_vms.size(); ++vm)
+    {
+        if (!is_up(vm))
+        {
+            continue;
+        }
+        const node_view state = view(vm);
+        if (state.role == node_role::leader && state.term > highest)
+        {
+            found = vm;
+            highest = state.term;
+        }
+    }
+    return found;
+}
+
+bool fake_group::is_whole() const
+{
+    const auto leading = leader();
+    if (!leading)
+    {
+        return false;
+    }
+    const node_view state = view(*leading);
+    if (state.members.voters() != m_vms.size())
+    {
+        return false;
+    }
+    for (std::size_t vm = 0; vm < m_vms.size(); ++vm)
+    {
+        const bool is_equal =
+            is_up(vm) && m_vms[vm]->machine == m_vms[*leading]->machine;
+        if (!is_equal || !state.members.is_voter(id(vm)))
+        {
+            return false;
+        }
+    }
+    return m_vms[*leading]->machine.applied >= m_checker.last_acknowledged();
+}
+
+} // namespace limpet::consensus::testing
--- /dev/null
+++ b/libs/consensus/src/node_election.cpp
@@ -0,0 +1,195 @@
+#include "node_impl.hpp"
+
+namespace limpet::consensus
+{
+
+void node::impl::reset_election_deadline()
+{
+    const duration timeout = m_settings.election_timeout;
+    const auto spread = static_cast<std::uint64_t>(timeout.count());
+    m_election_deadline = m_now + timeout + duration(m_random.below(spread));
+}
+
+/// Whether a leader may hold a lease that counts on this replica's promise to
+/// elect no other.
+bool node::impl::is_promised_to_leader() const
+{
+    if (m_role == node_role::leader)
+    {
+        return true;
+    }
+    return m_heard_leader &&
+           m_now < *m_heard_leader + m_settings.election_timeout;
+}
+
+void node::impl::become_follower(term_number term,
+                                 std::optional<replica_id> leader)
+{
+    if (m_role == node_role::leader)
+    {
+        resign();
+    }
+    if (m_role != node_role::follower)
+    {
+        reset_election_deadline();
+    }
+    if (term > m_hard.term)
+    {
+        m_hard = {term, std::nullopt};
+        m_hard_changed = true;
+    }
+    m_role = node_role::follower;
+    m_leader = std::move(leader);
+    m_votes.clear();
+}
+
+/// A replica whose removal is not known to be committed may be the only one
+/// that can be elected, because no other log is as long as its own.
+bool node::impl::may_campaign() const
+{
+    if (members().is_voter(m_self))
+    {
+        return true;
+    }
+    const bool is_committed = m_members.current_index() <= m_committed;
+    return !is_committed && m_members.former().is_voter(m_self);
+}
+
+void node::impl::start_trial()
+{
+    m_role = node_role::pre_candidate;
+    m_leader.reset();
+    m_votes.clear();
+    reset_election_deadline();
+    const term_number next{m_hard.term.get() + 1};
+    for (const auto& [id, role] : members().members())
+    {
+        if (id == m_self || role != member_role::voter)
+        {
+            continue;
+        }
+        vote_request request;
+        request.is_trial = true;
+        request.last = m_log.last();
+        request.last_term = m_log.last_term();
+        m_held_back.push_back({m_self, id, next, request});
+    }
+    count_vote(m_self);
+}
+
+void node::impl::start_election(bool is_handover)
+{
+    m_role = node_role::candidate;
+    m_leader.reset();
+    m_votes.clear();
+    reset_election_deadline();
+    m_hard = {term_number{m_hard.term.get() + 1}, m_self};
+    m_hard_changed = true;
+    m_own_vote = true;
+    for (const auto& [id, role] : members().members())
+    {
+        if (id == m_self || role != member_role::voter)
+        {
+            continue;
+        }
+        vote_request request;
+        request.is_handover = is_handover;
+        request.last = m_log.last();
+        request.last_term = m_log.last_term();
+        hold_back(id, request);
+    }
+}
+
+void node::impl::count_vote(const replica_id& from)
+{
+    if (!members().is_voter(from))
+    {
+        return;
+    }
+    m_votes.insert(from);
+    if (m_votes.size() < members().quorum())
+    {
+        return;
+    }
+    if (m_role == node_role::pre_candidate)
+    {
+        start_election(false);
+    }
+    else
+    {
+        become_leader();
+    }
+}
+
+void node::impl::become_leader()
+{
+    m_role = node_role::leader;
+    m_leader = m_self;
+    m_led_since = m_now;
+    m_next_heartbeat = m_now;
+    m_gave_up_lease = false;
+    m_handover.reset();
+    m_incoming.reset();
+    m_followers.clear();
+    m_proposals.clear();
+    m_reads.clear();
+    append({advance(m_log.last()),
+            m_hard.term,
+            storage::entry_kind::empty,
+            std::string()});
+    m_term_start = m_log.last();
+    update_followers();
+    heartbeat();
+}
+
+bool node::impl::is_up_to_date(const vote_request& request) const
+{
+    if (request.last_term != m_log.last_term())
+    {
+        return request.last_term > m_log.last_term();
+    }
+    return request.last >= m_log.last();
+}
+
+void node::impl::on_vote_request(const message& from,
+                                 const vote_request& request)
+{
+    vote_answer answer;
+    answer.is_trial = request.is_trial;
+    if (request.is_trial)
+    {
+        answer.granted = from.term > m_hard.term && !is_promised_to_leader() &&
+                         is_up_to_date(request);
+        const term_number term = answer.granted ? from.term : m_hard.term;
+        m_held_back.push_back({m_self, from.from, term, answer});
+        return;
+    }
+    const bool is_free = !m_hard.vote || *m_hard.vote == from.from;
+    answer.granted = is_free && is_up_to_date(request);
+    if (answer.granted && !m_hard.vote)
+    {
+        m_hard.vote = from.from;
+        m_hard_changed = true;
+        reset_election_deadline();
+    }
+    hold_back(from.from, answer);
+}
+
+void node::impl::on_vote_answer(const message& from, const vote_answer& answer)
+{
+    if (!answer.granted)
+    {
+        return;
+    }
+    const term_number trial_term{m_hard.term.get() + 1};
+    const bool is_current =
+        answer.is_trial
+            ? m_role == node_role::pre_candidate && from.term == trial_term
+            : m_role == node_role::candidate && from.term == m_hard.term;
+    if (is_current)
+    {
+        count_vote(from.from);
+    }
+}
+
+} // namespace limpet::consensus
--- /dev/null
+++ b/libs/consensus/src/node_leader.cpp
@@ -0,0 +1,430 @@
+#include "node_impl.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace limpet::consensus
+{
+
+namespace
+{
+
+std::uint64_t nanoseconds_of(time_point when)
+{
+    return static_cast<std::uint64_t>(when.time_since_epoch().count());
+}
+
+time_point sent_at(round_number round)
+{
+    return time_point(duration(static_cast<duration::rep>(round.get())));
+}
+
+} // namespace
+
+round_number node::impl::next_round()
+{
+    m_last_round =
+        round_number{std::max(nanoseconds_of(m_now), m_last_round.get() + 1)};
+    return m_last_round;
+}
+
+void node::impl::lead()
+{
+    const time_point contact = std::max(m_led_since, sent_at(quorum_round()));
+    if (m_now >= contact + m_settings.election_timeout)
+    {
+        become_follower(m_hard.term, std::nullopt);
+        return;
+    }
+    if (m_handover && m_now >= m_handover->deadline)
+    {
+        m_handover.reset();
+    }
+    if (m_now >= m_next_heartbeat)
+    {
+        heartbeat();
+        continue_handover();
+        repair_members();
+    }
+}
+
+void node::impl::heartbeat()
+{
+    m_next_heartbeat = m_now + m_settings.heartbeat_interval;
+    for (auto& [id, progress] : m_followers)
+    {
+        if (progress.sending)
+        {
+            send_chunk(id, progress);
+        }
+        else if (progress.probing && progress.next > m_log.base())
+        {
+            send_entries(id, progress);
+        }
+        else if (progress.next > m_log.base())
+        {
+            send_heartbeat(id, progress);
+        }
+        else
+        {
+            replicate(id, progress);
+        }
+    }
+}
+
+/// Sends what followers lack, and to the others the new commit position.
+void node::impl::broadcast()
+{
+    for (auto& [id, progress] : m_followers)
+    {
+        const bool has_entries = progress.next <= m_log.last();
+        if (has_entries)
+        {
+            replicate(id, progress);
+        }
+        else if (!progress.probing && !progress.sending)
+        {
+            send_heartbeat(id, progress);
+        }
+    }
+}
+
+void node::impl::replicate(const replica_id& to, follower_progress& progress)
+{
+    if (progress.sending)
+    {
+        return;
+    }
+    if (progress.next <= m_log.base())
+    {
+        progress.sending = m_snapshot;
+        progress.received = 0;
+        send_chunk(to, progress);
+        return;
+    }
+    const log_index limit = advance(progress.match, m_settings.window_entries);
+    while (!progress.probing && progress.next <= m_log.last() &&
+           progress.next <= limit)
+    {
+        send_entries(to, progress);
+    }
+}
+
+void node::impl::send_entries(const replica_id& to, follower_progress& progress)
+{
+    append_request request;
+    request.previous = previous(progress.next);
+    request.previous_term = *m_log.term_at(request.previous);
+    request.committed = m_committed;
+    request.round = next_round();
+    request.entries = m_log.slice(progress.next, m_settings.append_bytes);
+    if (!progress.probing)
+    {
+        progress.next = advance(progress.next, request.entries.size());
+    }
+    send(to, std::move(request));
+}
+
+void node::impl::send_heartbeat(const replica_id& to,
+                                follower_progress& progress)
+{
+    append_request request;
+    request.previous = previous(progress.next);
+    request.previous_term = *m_log.term_at(request.previous);
+    request.committed = m_committed;
+    request.round = next_round();
+    send(to, std::move(request));
+}
+
+void node::impl::send_chunk(const replica_id& to, follower_progress& progress)
+{
+    const storage::snapshot& source = *progress.sending;
+    snapshot_chunk chunk;
+    chunk.index = source.index;
+    chunk.index_term = source.term;
+    chunk.offset = progress.received;
+    chunk.total = source.data.size();
+    chunk.round = next_round();
+    if (chunk.offset == 0)
+    {
+        chunk.membership = source.membership;
+    }
+    chunk.bytes =
+        source.data.substr(chunk.offset, m_settings.snapshot_chunk_bytes);
+    send(to, std::move(chunk));
+}
+
+void node::impl::note_round(follower_progress& progress,
+                            round_number round) const
+{
+    progress.acked = std::max(progress.acked, std::min(round, m_last_round));
+}
+
+void node::impl::on_append_answer(const message& from,
+                                  const append_answer& answer)
+{
+    const auto found = m_followers.find(from.from);
+    if (m_role != node_role::leader || found == m_followers.end())
+    {
+        return;
+    }
+    follower_progress& progress = found->second;
+    note_round(progress, answer.round);
+    if (answer.accepted)
+    {
+        progress.match = std::max(progress.match, answer.match);
+        const log_index following = advance(progress.match);
+        progress.next =
+            progress.probing ? following : std::max(progress.next, following);
+        progress.probing = false;
+        if (progress.sending && progress.match >= progress.sending->index)
+        {
+            progress.sending.reset();
+        }
+        replicate(from.from, progress);
+        advance_commit();
+        continue_handover();
+        return;
+    }
+    const log_index hint = std::min(answer.match, m_log.last());
+    const log_index retry = advance(std::max(hint, progress.match));
+    if (progress.sending || (progress.probing && progress.next == retry))
+    {
+        return;
+    }
+    progress.probing = true;
+    progress.next = retry;
+    if (progress.next > m_log.base())
+    {
+        send_entries(from.from, progress);
+    }
+    else
+    {
+        replicate(from.from, progress);
+    }
+}
+
+void node::impl::on_snapshot_answer(const message& from,
+                                    const snapshot_answer& answer)
+{
+    const auto found = m_followers.find(from.from);
+    if (m_role != node_role::leader || found == m_followers.end())
+    {
+        return;
+    }
+    follower_progress& progress = found->second;
+    note_round(progress, answer.round);
+    if (!progress.sending || progress.sending->index != answer.index)
+    {
+        return;
+    }
+    const auto total = progress.sending->data.size();
+    if (answer.received < total)
+    {
+        const bool moved = answer.received != progress.received;
+        progress.received = answer.received;
+        if (moved)
+        {
+            send_chunk(from.from, progress);
+        }
+        return;
+    }
+    progress.match = std::max(progress.match, answer.index);
+    progress.next = advance(progress.match);
+    progress.probing = false;
+    progress.sending.reset();
+    replicate(from.from, progress);
+}
+
+log_index node::impl::quorum_match() const
+{
+    std::vector<log_index> matches;
+    for (const auto& [id, role] : members().members())
+    {
+        if (role != member_role::voter)
+        {
+            continue;
+        }
+        const auto found = m_followers.find(id);
+        matches.push_back(id == m_self ? m_durable : found->second.match);
+    }
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    return matches[members().quorum() - 1];
+}
+
+round_number node::impl::quorum_round() const
+{
+    const round_number own{
+        std::max(nanoseconds_of(m_now), m_last_round.get() + 1)};
+    std::vector<round_number> rounds;
+    for (const auto& [id, role] : members().members())
+    {
+        if (role != member_role::voter)
+        {
+            continue;
+        }
+        const auto found = m_followers.find(id);
+        rounds.push_back(id == m_self ? own : found->second.acked);
+    }
+    std::sort(rounds.begin(), rounds.end(), std::greater<>());
+    return rounds[members().quorum() - 1];
+}
+
+bool node::impl::is_round_in_time(round_number round, duration span) const
+{
+    return m_now < sent_at(round) + span;
+}
+
+bool node::impl::has_committed_in_term() const
+{
+    return m_committed >= m_term_start;
+}
+
+bool node::impl::has_lease() const
+{
+    return !m_gave_up_lease && has_committed_in_term() &&
+           is_round_in_time(quorum_round(), m_settings.lease());
+}
+
+void node::impl::advance_commit()
+{
+    const log_index agreed = quorum_match();
+    // Entries of earlier terms may still be replaced unless one of this term
+    // is committed with them.
+    if (agreed <= m_committed || m_log.term_at(agreed) != m_hard.term)
+    {
+        return;
+    }
+    m_committed = agreed;
+    broadcast();
+    const bool is_removed = !members().is_voter(m_self);
+    if (is_removed && m_members.current_index() <= m_committed)
+    {
+        apply_committed();
+        become_follower(m_hard.term, std::nullopt);
+    }
+}
+
+void node::impl::operator()(propose& what)
+{
+    const bool accepts = m_role == node_role::leader && !m_handover;
+    for (proposal& next : what.proposals)
+    {
+        if (!accepts)
+        {
+            m_actions.results.push_back(
+                {next.id, request_state::refused, log_index{}});
+            continue;
+        }
+        append({advance(m_log.last()),
+                m_hard.term,
+                storage::entry_kind::command,
+                std::move(next.command)});
+        m_proposals[m_log.last()] = next.id;
+    }
+    if (accepts)
+    {
+        broadcast();
+    }
+}
+
+void node::impl::operator()(const read_barrier& what)
+{
+    if (m_role != node_role::leader)
+    {
+        m_actions.results.push_back(
+            {what.id, request_state::refused, log_index{}});
+        return;
+    }
+    m_reads.push_back({what.id, m_last_round, log_index{}});
+    if (!has_lease() && m_reads.size() == 1)
+    {
+        heartbeat();
+    }
+}
+
+void node::impl::answer_reads()
+{
+    if (m_role != node_role::leader || !has_committed_in_term())
+    {
+        return;
+    }
+    const bool lease = has_lease();
+    const round_number proven = quorum_round();
+    const auto is_answered = [&](pending_read& read)
+    {
+        if (read.index == log_index{})
+        {
+            read.index = m_committed;
+        }
+        const bool leads = lease || proven > read.after;
+        if (!leads || m_applied < read.index)
+        {
+            return false;
+        }
+        m_actions.results.push_back({read.id, request_state::done, read.index});
+        return true;
+    };
+    std::erase_if(m_reads, is_answered);
+}
+
+void node::impl::operator()(const hand_over&)
+{
+    if (m_role != node_role::leader || m_handover)
+    {
+        return;
+    }
+    std::optional<replica_id> best;
+    for (const auto& [id, progress] : m_followers)
+    {
+        const bool is_alive =
+            members().is_voter(id) &&
+            is_round_in_time(progress.acked, m_settings.election_timeout);
+        if (is_alive && (!best || progress.match > m_followers[*best].match))
+        {
+            best = id;
+        }
+    }
+    if (!best)
+    {
+        return;
+    }
+    m_gave_up_lease = true;
+    m_handover = handover{*best, m_now + m_settings.election_timeout};
+    continue_handover();
+}
+
+void node::impl::continue_handover()
+{
+    if (m_role != node_role::leader || !m_handover)
+    {
+        return;
+    }
+    const auto found = m_followers.find(m_handover->target);
+    const bool ready =
+        found != m_followers.end() && found->second.match == m_log.last();
+    if (ready)
+    {
+        send(m_handover->target, handover_request{});
+    }
+}
+
+/// Ends leadership: the fate of what is not committed is unknown.
+void node::impl::resign()
+{
+    for (const auto& [index, id] : m_proposals)
+    {
+        m_actions.results.push_back({id, request_state::unknown, index});
+    }
+    for (const pending_read& read : m_reads)
+    {
+        m_actions.results.push_back(
+            {read.id, request_state::refused, log_index{}});
+    }
+    m_proposals.clear();
+    m_reads.clear();
+    m_followers.clear();
+    m_handover.reset();
+}
+
+} // namespace limpet::consensus
--- a/libs/control/include/limpet/control/control_server.hpp
+++ b/libs/control/include/limpet/control/control_server.hpp
@@ -10,7 +10,8 @@
 #include <functional>
 #include <memory>
 
-namespace limpet::control {
+namespace limpet::control
+{
 
 /// Keeps the configuration, takes operators' commands and gives routers the
 /// configuration in force. Runs on one io_context with one thread.
@@ -19,10 +20,10 @@
 public:
     /// Opens the storage, listens and starts. `on_failed` is called once when
     /// the storage fails. Errors: io_error, corrupt.
-    static outcome<std::unique_ptr<control_server>> create(
-        boost::asio::io_context& context,
-        const control_settings& settings,
-        std::function<void()> on_failed);
+    static outcome<std::unique_ptr<control_server>>
+    create(boost::asio::io_context& context,
+           const control_settings& settings,
+           std::function<void()> on_failed);
 
     virtual ~control_server() = default;
 
--- a/libs/control/include/limpet/control/control_settings.hpp
+++ b/libs/control/include/limpet/control/control_settings.hpp
@@ -14,7 +14,8 @@
 #include <string>
 #include <vector>
 
-namespace limpet::control {
+namespace limpet::control
+{
 
 /// Another replica of the control group.
 struct replica_peer
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -1,9 +1,8 @@
-#include <limpet/control/control_server.hpp>
-
 #include <limpet/base/log.hpp>
 #include <limpet/base/settings_reader.hpp>
 #include <limpet/config/authorise.hpp>
 #include <limpet/config/state_machine.hpp>
+#include <limpet/control/control_server.hpp>
 #include <limpet/http/endpoint.hpp>
 #include <limpet/http/server.hpp>
 #include <limpet/wire/link_hub.hpp>
@@ -12,11 +11,13 @@
 
 #include <chrono>
 
-namespace limpet::control {
+namespace limpet::control
+{
 
 namespace net = boost::asio;
 
-namespace {
+namespace
+{
 
 constexpr std::string_view bearer = "Bearer ";
 
@@ -38,32 +39,29 @@
 
 http::response make_error(unsigned status, const error& reason)
 {
-    return make_json(
-        status,
-        boost::json::object{
-            {"error",
-             boost::json::object{
-                 {"code", to_string(reason.code)},
-                 {"message", reason.message}}}});
+    return make_json(status,
+                     boost::json::object{
+                         {"error",
+                          boost::json::object{{"code", to_string(reason.code)},
+                                              {"message", reason.message}}}});
 }
 
 class running_server final : public control_server
 {
 public:
     running_server(net::io_context& context, control_settings settings)
-        : m_context(context)
-        , m_settings(std::move(settings))
-        , m_state(unix_ms())
+        : m_context(context),
+          m_settings(std::move(settings)),
+          m_state(unix_ms())
     {
     }
 
     status start()
     {
         wire::link_handlers handlers;
-        handlers.on_frame = [this](
-                                const wire::link_identity& from,
-                                wire::channel kind,
-                                std::string)
+        handlers.on_frame = [this](const wire::link_identity& from,
+                                   wire::channel kind,
+                                   std::string)
         {
             if (kind == wire::channel::config)
             {
@@ -71,28 +69,26 @@
             }
         };
         handlers.on_lost = [](const vm_id&) {};
-        auto hub = wire::link_hub::listen(
-            m_context,
-            m_settings.peers,
-            {m_settings.vm,
-             m_settings.data_centre,
-             incarnation(unix_ms()),
-             http::to_string(m_settings.peers)},
-            {},
-            std::move(handlers));
+        auto hub = wire::link_hub::listen(m_context,
+                                          m_settings.peers,
+                                          {m_settings.vm,
+                                           m_settings.data_centre,
+                                           incarnation(unix_ms()),
+                                           http::to_string(m_settings.peers)},
+                                          {},
+                                          std::move(handlers));
         if (!is_ok(hub))
         {
             return error_of(hub);
         }
         m_hub = std::move(value_of(hub));
-        auto server = http::server::listen(
-            m_context,
-            m_settings.operators,
-            {},
-            [this](http::exchange& caller)
-            {
-                return handle(caller);
-            });
+        auto server = http::server::listen(m_context,
+                                           m_settings.operators,
+                                           {},
+                                           [this](http::exchange& caller)
+                                           {
+                                               return handle(caller);
+                                           });
         if (!is_ok(server))
         {
             return error_of(server);
@@ -127,10 +123,9 @@
             return;
         }
         m_hub->set_peer(from.vm, value_of(address));
-        m_hub->send(
-            from.vm,
-            wire::channel::config,
-            config::encode_view(*m_state.view()));
+        m_hub->send(from.vm,
+                    wire::channel::config,
+                    config::encode_view(*m_state.view()));
     }
 
     net::awaitable<void> handle(http::exchange& caller)
@@ -168,22 +163,22 @@
         order.submitted_unix_ms = unix_ms();
         const std::string_view field =
             request.headers.value_or_empty("Authorization");
-        const auto* author = field.starts_with(bearer)
-            ? m_state.view()->operator_of_token(
-                  config::sha256(field.substr(bearer.size())))
-            : nullptr;
+        const auto* author =
+            field.starts_with(bearer)
+                ? m_state.view()->operator_of_token(
+                      config::sha256(field.substr(bearer.size())))
+                : nullptr;
         if (author != nullptr)
         {
             order.author = author->value.id;
-            const status allowed = config::authorise(
-                *m_state.view(), author->value, order.what);
+            const status allowed =
+                config::authorise(*m_state.view(), author->value, order.what);
             if (!is_ok(allowed))
             {
                 return make_error(403, error_of(allowed));
             }
         }
-        const config::command_result result =
-            m_state.apply(++m_index, order);
+        const config::command_result result = m_state.apply(++m_index, order);
         const bool ok = std::holds_alternative<config::accepted>(result);
         return make_json(ok ? 200 : 409, config::to_json(result));
     }
@@ -198,10 +193,10 @@
 
 } // namespace
 
-outcome<std::unique_ptr<control_server>> control_server::create(
-    net::io_context& context,
-    const control_settings& settings,
-    std::function<void()>)
+outcome<std::unique_ptr<control_server>>
+control_server::create(net::io_context& context,
+                       const control_settings& settings,
+                       std::function<void()>)
 {
     auto made = std::make_unique<running_server>(context, settings);
     const status started = made->start();
--- a/libs/control/src/control_settings.cpp
+++ b/libs/control/src/control_settings.cpp
@@ -1,16 +1,17 @@
-#include <limpet/control/control_settings.hpp>
-
 #include <limpet/base/settings_reader.hpp>
+#include <limpet/control/control_settings.hpp>
 #include <limpet/http/endpoint.hpp>
 
-namespace limpet::control {
+namespace limpet::control
+{
 
-namespace {
+namespace
+{
 
 constexpr duration max_drain = std::chrono::hours(1);
 
-boost::asio::ip::tcp::endpoint
-read_endpoint(settings_reader& reader, std::string_view key)
+boost::asio::ip::tcp::endpoint read_endpoint(settings_reader& reader,
+                                             std::string_view key)
 {
     const auto parsed = http::parse_endpoint(reader.text(key));
     if (!is_ok(parsed))
@@ -36,10 +37,9 @@
     }
     for (const boost::json::value& entry : list->get_array())
     {
-        settings_reader item(
-            entry,
-            reader.path_of("group") + "[" + std::to_string(group.size()) +
-                "]");
+        settings_reader item(entry,
+                             reader.path_of("group") + "[" +
+                                 std::to_string(group.size()) + "]");
         replica_peer peer;
         peer.vm = vm_id(item.text("vm"));
         peer.address = read_endpoint(item, "address");
@@ -75,11 +75,10 @@
     {
         reader.fail("log_level", error_of(level).message);
     }
-    settings.drain_timeout = reader.milliseconds_or(
-        "drain_timeout_ms",
-        settings.drain_timeout,
-        duration::zero(),
-        max_drain);
+    settings.drain_timeout = reader.milliseconds_or("drain_timeout_ms",
+                                                    settings.drain_timeout,
+                                                    duration::zero(),
+                                                    max_drain);
     const status result = reader.finish();
     if (!is_ok(result))
     {
@@ -98,8 +97,8 @@
     auto settings = parse_control_settings(value_of(document));
     if (!is_ok(settings))
     {
-        return error{
-            error_of(settings).code, file + ": " + error_of(settings).message};
+        return error{error_of(settings).code,
+                     file + ": " + error_of(settings).message};
     }
     return settings;
 }
--- a/libs/daemon/include/limpet/daemon/run.hpp
+++ b/libs/daemon/include/limpet/daemon/run.hpp
@@ -14,7 +14,8 @@
 #include <cstddef>
 #include <functional>
 
-namespace limpet::daemon {
+namespace limpet::daemon
+{
 
 /// Exit codes of the programs.
 inline constexpr int exit_ok = 0;
@@ -37,10 +38,9 @@
     using drain_function = std::function<void(std::function<void()>)>;
 
     /// Runs until the program has stopped and returns its exit code.
-    int run(
-        duration drain_limit,
-        drain_function drain,
-        std::function<void()> close);
+    int run(duration drain_limit,
+            drain_function drain,
+            std::function<void()> close);
 
     /// Ends the program at once with the exit code. Thread-safe.
     void stop(int exit_code);
--- a/libs/daemon/src/run.cpp
+++ b/libs/daemon/src/run.cpp
@@ -6,11 +6,13 @@
 #include <thread>
 #include <vector>
 
-namespace limpet::daemon {
+namespace limpet::daemon
+{
 
 namespace net = boost::asio;
 
-namespace {
+namespace
+{
 
 /// Time in which closed connections end before the threads are stopped.
 constexpr duration close_time = milliseconds(500);
@@ -18,15 +20,16 @@
 } // namespace
 
 runner::runner(net::io_context& context, std::size_t threads)
-    : m_context(context)
-    , m_threads(threads)
-    , m_signals(context, SIGTERM, SIGINT)
-    , m_limit(context)
+    : m_context(context),
+      m_threads(threads),
+      m_signals(context, SIGTERM, SIGINT),
+      m_limit(context)
 {
 }
 
-int runner::run(
-    duration drain_limit, drain_function drain, std::function<void()> close)
+int runner::run(duration drain_limit,
+                drain_function drain,
+                std::function<void()> close)
 {
     m_drain_limit = drain_limit;
     m_drain = std::move(drain);
@@ -51,12 +54,11 @@
 
 void runner::stop(int exit_code)
 {
-    net::post(
-        m_context,
-        [this, exit_code]
-        {
-            finish(exit_code);
-        });
+    net::post(m_context,
+              [this, exit_code]
+              {
+                  finish(exit_code);
+              });
 }
 
 void runner::wait_for_signal()
--- a/libs/pipeline/include/limpet/pipeline/exchange_message.hpp
+++ b/libs/pipeline/include/limpet/pipeline/exchange_message.hpp
@@ -148,8 +148,8 @@
                                       cancel_message,
                                       query_message,
                                       state_message,
-    placed_message,
-    load_message>;
+                                      placed_message,
+                                      load_message>;
 
 /// One message of an exchange.
 struct exchange_message
--- a/libs/pipeline/include/limpet/pipeline/router.hpp
+++ b/libs/pipeline/include/limpet/pipeline/router.hpp
@@ -11,7 +11,8 @@
 #include <functional>
 #include <memory>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// All parts of a router on one io_context. Thread-safe.
 class router
@@ -20,10 +21,10 @@
     /// Listens and starts. `on_stop` is called once when the router must stop
     /// because a later process of its VM runs. Errors: io_error when an
     /// address cannot be used.
-    static outcome<std::unique_ptr<router>> create(
-        boost::asio::io_context& context,
-        const router_settings& settings,
-        std::function<void()> on_stop);
+    static outcome<std::unique_ptr<router>>
+    create(boost::asio::io_context& context,
+           const router_settings& settings,
+           std::function<void()> on_stop);
 
     virtual ~router() = default;
 
--- a/libs/pipeline/include/limpet/pipeline/router_settings.hpp
+++ b/libs/pipeline/include/limpet/pipeline/router_settings.hpp
@@ -17,7 +17,8 @@
 #include <string>
 #include <vector>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// A control replica that the router talks to.
 struct control_peer
--- a/libs/pipeline/src/answer_writer.cpp
+++ b/libs/pipeline/src/answer_writer.cpp
@@ -2,11 +2,13 @@
 
 #include "headers.hpp"
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 namespace net = boost::asio;
 
-namespace {
+namespace
+{
 
 constexpr std::string_view event_stream_type = "text/event-stream";
 /// Longest answer that is held back until it is whole.
@@ -80,8 +82,7 @@
     }
     http::response answer;
     answer.head = make_head();
-    answer.head.headers.set(
-        headers::outcome, to_string(run_outcome::complete));
+    answer.head.headers.set(headers::outcome, to_string(run_outcome::complete));
     answer.body = std::move(m_kept);
     co_return co_await m_context.caller.respond(std::move(answer));
 }
--- a/libs/pipeline/src/answer_writer.hpp
+++ b/libs/pipeline/src/answer_writer.hpp
@@ -11,7 +11,8 @@
 
 #include <string>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// Holds a short answer back until it is whole, so that its outcome is in the
 /// head; streams events as they come. A stream may go on with another engine
--- a/libs/pipeline/src/answers.cpp
+++ b/libs/pipeline/src/answers.cpp
@@ -6,9 +6,11 @@
 
 #include <algorithm>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view json_type = "application/json";
 constexpr std::string_view text_type = "text/plain; charset=utf-8";
@@ -17,10 +19,9 @@
 {
     const boost::json::object body{
         {"error",
-         boost::json::object{
-             {"code", to_string(reason.code)},
-             {"message", reason.message},
-             {"request", request}}}};
+         boost::json::object{{"code", to_string(reason.code)},
+                             {"message", reason.message},
+                             {"request", request}}}};
     return boost::json::serialize(body);
 }
 
@@ -87,28 +88,27 @@
 
 http::response make_refusal(const request_id& request, const refusal& why)
 {
-    http::response answer = make_json(
-        status_of(why.reason.code), error_body(why.reason, request.get()));
+    http::response answer = make_json(status_of(why.reason.code),
+                                      error_body(why.reason, request.get()));
     answer.head.headers.set(headers::request, request.get());
     answer.head.headers.set(headers::outcome, to_string(why.outcome));
     if (why.retry_after > duration::zero())
     {
-        answer.head.headers.set(
-            headers::retry_after, whole_seconds(why.retry_after));
-        answer.head.headers.set(
-            headers::retry_after_ms, whole_milliseconds(why.retry_after));
+        answer.head.headers.set(headers::retry_after,
+                                whole_seconds(why.retry_after));
+        answer.head.headers.set(headers::retry_after_ms,
+                                whole_milliseconds(why.retry_after));
     }
     return answer;
 }
 
 http::response make_server_refusal(unsigned status, std::string_view reason)
 {
-    http::response answer = make_json(
-        status,
-        error_body(
-            {error_code::malformed, std::string(reason)}, std::string_view()));
-    answer.head.headers.set(
-        headers::outcome, to_string(run_outcome::not_run));
+    http::response answer =
+        make_json(status,
+                  error_body({error_code::malformed, std::string(reason)},
+                             std::string_view()));
+    answer.head.headers.set(headers::outcome, to_string(run_outcome::not_run));
     return answer;
 }
 
--- a/libs/pipeline/src/answers.hpp
+++ b/libs/pipeline/src/answers.hpp
@@ -9,7 +9,8 @@
 
 #include <string_view>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// Returns the HTTP status of an error.
 unsigned status_of(error_code code) noexcept;
--- a/libs/pipeline/src/attempt.cpp
+++ b/libs/pipeline/src/attempt.cpp
@@ -4,11 +4,13 @@
 
 #include <algorithm>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 namespace net = boost::asio;
 
-namespace {
+namespace
+{
 
 /// Time without a message after which the owner is asked for the state.
 constexpr duration query_after = seconds(2);
@@ -19,8 +21,8 @@
 
 } // namespace
 
-exchange_id attempt_registry::add(
-    const vm_id& owner, std::shared_ptr<attempt_mailbox> box)
+exchange_id attempt_registry::add(const vm_id& owner,
+                                  std::shared_ptr<attempt_mailbox> box)
 {
     const exchange_id id(m_next++);
     shard& part = shard_of(id);
@@ -36,8 +38,9 @@
     part.exchanges.erase(id);
 }
 
-void attempt_registry::deliver(
-    const wire::link_identity& from, exchange_id id, exchange_content content)
+void attempt_registry::deliver(const wire::link_identity& from,
+                               exchange_id id,
+                               exchange_content content)
 {
     shard& part = shard_of(id);
     const std::lock_guard lock(part.mutex);
@@ -80,20 +83,19 @@
     return m_shards[id.get() % shard_count];
 }
 
-attempt::attempt(
-    request_context& context,
-    answer_writer& writer,
-    attempt_registry& registry,
-    wire::link_hub& hub,
-    attempt_target target,
-    std::shared_ptr<attempt_mailbox> box)
-    : m_context(context)
-    , m_writer(writer)
-    , m_registry(registry)
-    , m_hub(hub)
-    , m_target(std::move(target))
-    , m_box(std::move(box))
-    , m_id(m_registry.add(m_target.owner, m_box))
+attempt::attempt(request_context& context,
+                 answer_writer& writer,
+                 attempt_registry& registry,
+                 wire::link_hub& hub,
+                 attempt_target target,
+                 std::shared_ptr<attempt_mailbox> box)
+    : m_context(context),
+      m_writer(writer),
+      m_registry(registry),
+      m_hub(hub),
+      m_target(std::move(target)),
+      m_box(std::move(box)),
+      m_id(m_registry.add(m_target.owner, m_box))
 {
 }
 
@@ -114,8 +116,7 @@
     {
         const time_point now = monotonic_clock::now();
         const bool waiting = m_queried || m_cancelled;
-        const time_point patience =
-            now + (waiting ? answer_time : query_after);
+        const time_point patience = now + (waiting ? answer_time : query_after);
         const time_point until =
             m_cancelled ? patience : std::min(patience, m_context.deadline);
         std::optional<attempt_event> event = co_await m_box->pop(until);
@@ -164,10 +165,9 @@
 
 status attempt::send(exchange_content content)
 {
-    return m_hub.send(
-        m_target.owner,
-        wire::channel::exchange,
-        encode({m_id, std::move(content)}));
+    return m_hub.send(m_target.owner,
+                      wire::channel::exchange,
+                      encode({m_id, std::move(content)}));
 }
 
 net::awaitable<void> attempt::take(owner_message message)
@@ -176,9 +176,8 @@
     if (message.from != m_target.owner_start)
     {
         // Another process of the VM knows nothing of this exchange.
-        fail(
-            finish_result::broken,
-            {error_code::unavailable, "owner restarted"});
+        fail(finish_result::broken,
+             {error_code::unavailable, "owner restarted"});
         co_return;
     }
     if (const auto* head = std::get_if<head_message>(&message.content))
@@ -189,8 +188,7 @@
     {
         co_await take_part(*part);
     }
-    else if (
-        const auto* finish = std::get_if<finish_message>(&message.content))
+    else if (const auto* finish = std::get_if<finish_message>(&message.content))
     {
         take_finish(*finish);
     }
@@ -221,8 +219,7 @@
     }
     if (!m_context.first_token)
     {
-        m_context.first_token =
-            monotonic_clock::now() - m_context.received_at;
+        m_context.first_token = monotonic_clock::now() - m_context.received_at;
     }
     const status written = co_await m_writer.part(message);
     if (!is_ok(written))
@@ -242,9 +239,8 @@
     const bool whole = message.sequence == m_next_sequence;
     if (message.result == finish_result::complete && !whole)
     {
-        fail(
-            finish_result::broken,
-            {error_code::io_error, "a part of the answer was lost"});
+        fail(finish_result::broken,
+             {error_code::io_error, "a part of the answer was lost"});
         return;
     }
     fail(message.result, message.reason);
@@ -261,16 +257,14 @@
     }
     if (state->value == request_state::refused)
     {
-        fail(
-            finish_result::not_run,
-            {error_code::unavailable, "owner never saw the request"});
+        fail(finish_result::not_run,
+             {error_code::unavailable, "owner never saw the request"});
         return;
     }
     if (state->value == request_state::finished)
     {
-        fail(
-            finish_result::broken,
-            {error_code::io_error, "the end of the answer was lost"});
+        fail(finish_result::broken,
+             {error_code::io_error, "the end of the answer was lost"});
     }
 }
 
@@ -278,9 +272,8 @@
 {
     if (m_cancelled)
     {
-        fail(
-            finish_result::broken,
-            {error_code::timeout, "owner did not answer"});
+        fail(finish_result::broken,
+             {error_code::timeout, "owner did not answer"});
         return;
     }
     if (now >= m_context.deadline)
@@ -291,9 +284,8 @@
     }
     if (m_queried)
     {
-        fail(
-            finish_result::broken,
-            {error_code::unavailable, "owner cannot be reached"});
+        fail(finish_result::broken,
+             {error_code::unavailable, "owner cannot be reached"});
         return;
     }
     // An unsent query counts as unanswered after the same time.
@@ -306,9 +298,8 @@
     if (sequence != m_next_sequence)
     {
         send(cancel_message{});
-        fail(
-            finish_result::broken,
-            {error_code::io_error, "a part of the answer was lost"});
+        fail(finish_result::broken,
+             {error_code::io_error, "a part of the answer was lost"});
         return false;
     }
     ++m_next_sequence;
--- a/libs/pipeline/src/attempt.hpp
+++ b/libs/pipeline/src/attempt.hpp
@@ -18,7 +18,8 @@
 #include <unordered_map>
 #include <variant>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// The connection to the owner was lost, and with it maybe messages.
 struct owner_lost
@@ -50,10 +51,9 @@
     void remove(exchange_id id);
 
     /// Hands a message to its exchange. One that has ended gets nothing more.
-    void deliver(
-        const wire::link_identity& from,
-        exchange_id id,
-        exchange_content content);
+    void deliver(const wire::link_identity& from,
+                 exchange_id id,
+                 exchange_content content);
 
     /// Tells all exchanges with the owner that messages may be lost.
     void on_peer_lost(const vm_id& owner);
@@ -107,13 +107,12 @@
 class attempt
 {
 public:
-    attempt(
-        request_context& context,
-        answer_writer& writer,
-        attempt_registry& registry,
-        wire::link_hub& hub,
-        attempt_target target,
-        std::shared_ptr<attempt_mailbox> box);
+    attempt(request_context& context,
+            answer_writer& writer,
+            attempt_registry& registry,
+            wire::link_hub& hub,
+            attempt_target target,
+            std::shared_ptr<attempt_mailbox> box);
     ~attempt();
 
     attempt(const attempt&) = delete;
--- a/libs/pipeline/src/backend_api.cpp
+++ b/libs/pipeline/src/backend_api.cpp
@@ -7,11 +7,13 @@
 
 #include <charconv>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 namespace net = boost::asio;
 
-namespace {
+namespace
+{
 
 constexpr std::string_view announcements = "/v1/announcements";
 constexpr std::string_view incarnation_query = "?incarnation=";
@@ -20,8 +22,8 @@
 {
     const boost::json::object body{
         {"error",
-         boost::json::object{
-             {"code", to_string(reason.code)}, {"message", reason.message}}}};
+         boost::json::object{{"code", to_string(reason.code)},
+                             {"message", reason.message}}}};
     return make_json(status_of(reason.code), boost::json::serialize(body));
 }
 
@@ -47,10 +49,9 @@
     settings_reader reader(value_of(document), "report");
     load_report report;
     report.engine = engine_id(reader.text("engine"));
-    report.load.run =
-        incarnation(reader.number("incarnation", 0, UINT64_MAX));
-    report.load.in_flight = static_cast<std::uint32_t>(
-        reader.number("in_flight", 0, UINT32_MAX));
+    report.load.run = incarnation(reader.number("incarnation", 0, UINT64_MAX));
+    report.load.in_flight =
+        static_cast<std::uint32_t>(reader.number("in_flight", 0, UINT32_MAX));
     reader.number_or("queued", 0, 0, UINT32_MAX);
     report.load.cached =
         token_count(reader.number_or("cache_tokens", 0, 0, UINT64_MAX));
@@ -222,16 +223,14 @@
     const auto* owner = view->owner_of(value.engine);
     if (owner == nullptr)
     {
-        return make_error(
-            {error_code::not_found,
-             "no engine '" + value.engine.get() + "' is known"});
+        return make_error({error_code::not_found,
+                           "no engine '" + value.engine.get() + "' is known"});
     }
     load_message message{
         value.engine, value.load.run, value.load.in_flight, value.load.cached};
-    m_parts.hub->send(
-        owner->self.vm,
-        wire::channel::exchange,
-        encode({exchange_id(0), std::move(message)}));
+    m_parts.hub->send(owner->self.vm,
+                      wire::channel::exchange,
+                      encode({exchange_id(0), std::move(message)}));
     return make_json(200, "{}");
 }
 
@@ -258,22 +257,19 @@
 
 http::response backend_api::show_metrics() const
 {
-    return make_text(
-        200,
-        m_parts.metrics->to_text() +
-            owner_metrics_text(m_parts.owners->engines()) +
-            traffic_text(m_parts.hub->counters()));
+    return make_text(200,
+                     m_parts.metrics->to_text() +
+                         owner_metrics_text(m_parts.owners->engines()) +
+                         traffic_text(m_parts.hub->counters()));
 }
 
 http::response backend_api::show_status() const
 {
-    const status_inputs inputs{
-        m_parts.hub->self(),
-        m_parts.members->view(),
-        m_parts.owners->engines(),
-        m_parts.config()};
-    return make_json(
-        200, boost::json::serialize(make_status_report(inputs)));
+    const status_inputs inputs{m_parts.hub->self(),
+                               m_parts.members->view(),
+                               m_parts.owners->engines(),
+                               m_parts.config()};
+    return make_json(200, boost::json::serialize(make_status_report(inputs)));
 }
 
 } // namespace limpet::pipeline
--- a/libs/pipeline/src/backend_api.hpp
+++ b/libs/pipeline/src/backend_api.hpp
@@ -13,7 +13,8 @@
 #include <functional>
 #include <memory>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// Parts that the interface works with.
 struct backend_api_parts
--- a/libs/pipeline/src/config_store.cpp
+++ b/libs/pipeline/src/config_store.cpp
@@ -1,6 +1,7 @@
 #include "config_store.hpp"
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 config::view_ptr config_store::get() const
 {
@@ -11,9 +12,8 @@
 bool config_store::adopt(config::view_ptr received)
 {
     const std::lock_guard lock(m_mutex);
-    if (m_view &&
-        compare(received->where(), m_view->where()) !=
-            config::position_order::newer)
+    if (m_view && compare(received->where(), m_view->where()) !=
+                      config::position_order::newer)
     {
         return false;
     }
--- a/libs/pipeline/src/config_store.hpp
+++ b/libs/pipeline/src/config_store.hpp
@@ -7,7 +7,8 @@
 
 #include <mutex>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// Holds the configuration in force, which never reverts. Thread-safe.
 class config_store
--- a/libs/pipeline/src/entry_service.cpp
+++ b/libs/pipeline/src/entry_service.cpp
@@ -12,11 +12,13 @@
 
 #include <algorithm>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 namespace net = boost::asio;
 
-namespace {
+namespace
+{
 
 /// Retries for each first try, and how many may be saved up.
 constexpr double retry_ratio = 0.1;
@@ -33,8 +35,7 @@
     net::steady_timer timer(co_await net::this_coro::executor);
     timer.expires_after(length);
     boost::system::error_code ignored;
-    co_await timer.async_wait(
-        net::redirect_error(net::use_awaitable, ignored));
+    co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
 }
 
 placement::chat_holders to_holders(const std::vector<chat_hint>& hints)
@@ -53,11 +54,10 @@
 
 refusal no_engine(const model_id& model)
 {
-    return {
-        {error_code::unavailable,
-         "no engine in service for '" + model.get() + "'"},
-        run_outcome::not_run,
-        unavailable_retry};
+    return {{error_code::unavailable,
+             "no engine in service for '" + model.get() + "'"},
+            run_outcome::not_run,
+            unavailable_retry};
 }
 
 } // namespace
@@ -65,11 +65,11 @@
 /// Engines that one request has tried and will try.
 struct entry_service::journey
 {
-    journey(
-        routing_table::chooser_ptr engines_of_model, placement::route planned)
-        : engines(std::move(engines_of_model))
-        , plan(std::move(planned))
-        , next(plan.order)
+    journey(routing_table::chooser_ptr engines_of_model,
+            placement::route planned)
+        : engines(std::move(engines_of_model)),
+          plan(std::move(planned)),
+          next(plan.order)
     {
     }
 
@@ -99,8 +99,8 @@
     void put_back(placement::engine_index index)
     {
         queued = false;
-        tried.erase(
-            std::remove(tried.begin(), tried.end(), index), tried.end());
+        tried.erase(std::remove(tried.begin(), tried.end(), index),
+                    tried.end());
         if (next.size() == next.capacity())
         {
             next.pop_back();
@@ -130,9 +130,9 @@
 };
 
 entry_service::entry_service(entry_parts parts)
-    : m_parts(std::move(parts))
-    , m_open(std::make_shared<open_requests>())
-    , m_budget(retry_ratio, retry_burst)
+    : m_parts(std::move(parts)),
+      m_open(std::make_shared<open_requests>()),
+      m_budget(retry_ratio, retry_burst)
 {
     m_filters = {
         authenticate_filter{}, classify_filter{}, admit_filter{m_open}};
@@ -154,8 +154,8 @@
     --m_open_count;
 }
 
-void entry_service::receive(
-    const wire::link_identity& from, exchange_message message)
+void entry_service::receive(const wire::link_identity& from,
+                            exchange_message message)
 {
     m_registry.deliver(from, message.exchange, std::move(message.content));
 }
@@ -169,10 +169,9 @@
 {
     if (!context.config)
     {
-        return refusal{
-            {error_code::unavailable, "no configuration yet"},
-            run_outcome::not_run,
-            unavailable_retry};
+        return refusal{{error_code::unavailable, "no configuration yet"},
+                       run_outcome::not_run,
+                       unavailable_retry};
     }
     for (const filter& step : m_filters)
     {
@@ -210,8 +209,8 @@
     co_await writer.complete();
 }
 
-net::awaitable<filter_result> entry_service::try_engines(
-    request_context& context, answer_writer& writer)
+net::awaitable<filter_result>
+entry_service::try_engines(request_context& context, answer_writer& writer)
 {
     const auto engines = m_parts.routes->find(context.model);
     if (!engines || engines->size() == 0)
@@ -222,11 +221,10 @@
         placement::make_chat_key(context.team, context.chat);
     journey trip(
         engines,
-        placement::plan_route(
-            *engines,
-            {chat, context.returning, context.placement_hint},
-            m_route_settings,
-            monotonic_clock::now()));
+        placement::plan_route(*engines,
+                              {chat, context.returning, context.placement_hint},
+                              m_route_settings,
+                              monotonic_clock::now()));
     {
         const std::lock_guard lock(m_budget_mutex);
         m_budget.on_request();
@@ -288,13 +286,13 @@
     co_return last;
 }
 
-net::awaitable<attempt_result> entry_service::try_engine(
-    request_context& context,
-    answer_writer& writer,
-    const attempt_target& target)
+net::awaitable<attempt_result>
+entry_service::try_engine(request_context& context,
+                          answer_writer& writer,
+                          const attempt_target& target)
 {
-    const auto box = std::make_shared<attempt_mailbox>(
-        co_await net::this_coro::executor);
+    const auto box =
+        std::make_shared<attempt_mailbox>(co_await net::this_coro::executor);
     context.caller.on_caller_gone(
         [box]
         {
@@ -304,8 +302,8 @@
     co_return co_await one.run();
 }
 
-net::awaitable<void>
-entry_service::refuse(request_context& context, const refusal& why)
+net::awaitable<void> entry_service::refuse(request_context& context,
+                                           const refusal& why)
 {
     context.outcome = why.outcome;
     context.status = status_of(why.reason.code);
@@ -313,8 +311,8 @@
     co_await context.caller.respond(std::move(answer));
 }
 
-std::optional<attempt_target> entry_service::find_owner(
-    const engine_id& engine, bool may_go_elsewhere) const
+std::optional<attempt_target>
+entry_service::find_owner(const engine_id& engine, bool may_go_elsewhere) const
 {
     const auto view = m_parts.members->view();
     const membership::router_record* owner = view->owner_of(engine);
@@ -326,10 +324,9 @@
         engine, owner->self.vm, owner->started, may_go_elsewhere};
 }
 
-bool entry_service::may_retry(
-    const request_context& context,
-    const answer_writer& writer,
-    const attempt_result& result)
+bool entry_service::may_retry(const request_context& context,
+                              const answer_writer& writer,
+                              const attempt_result& result)
 {
     if (!context.repeatable || result.caller_lost || !writer.can_resume())
     {
@@ -339,16 +336,15 @@
     return m_budget.try_retry();
 }
 
-void entry_service::tell_home(
-    const request_context& context, const journey& trip)
+void entry_service::tell_home(const request_context& context,
+                              const journey& trip)
 {
     if (!context.returning)
     {
         return;
     }
     const auto view = m_parts.members->view();
-    const auto* home =
-        view->owner_of(trip.engines->engine(trip.plan.home).id);
+    const auto* home = view->owner_of(trip.engines->engine(trip.plan.home).id);
     const auto* server = view->owner_of(context.engine);
     const auto served = trip.engines->find(context.engine);
     if (home == nullptr || home == server || !served)
@@ -362,10 +358,9 @@
          trip.engines->engine(*served).run,
          token_count(context.prompt_tokens + context.events)}};
     // A lost message costs cache reuse only.
-    m_parts.hub->send(
-        home->self.vm,
-        wire::channel::exchange,
-        encode({exchange_id(0), std::move(placed)}));
+    m_parts.hub->send(home->self.vm,
+                      wire::channel::exchange,
+                      encode({exchange_id(0), std::move(placed)}));
 }
 
 void entry_service::log_end(const request_context& context) const
--- a/libs/pipeline/src/entry_service.hpp
+++ b/libs/pipeline/src/entry_service.hpp
@@ -18,7 +18,8 @@
 #include <mutex>
 #include <vector>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// Parts that the entry service works with.
 struct entry_parts
@@ -58,20 +59,19 @@
 
     filter_result run_filters(request_context& context);
     boost::asio::awaitable<void> run(request_context& context);
-    boost::asio::awaitable<filter_result>
-    try_engines(request_context& context, answer_writer& writer);
-    boost::asio::awaitable<attempt_result> try_engine(
-        request_context& context,
-        answer_writer& writer,
-        const attempt_target& target);
-    boost::asio::awaitable<void>
-    refuse(request_context& context, const refusal& why);
-    std::optional<attempt_target>
-    find_owner(const engine_id& engine, bool may_go_elsewhere) const;
-    bool may_retry(
-        const request_context& context,
-        const answer_writer& writer,
-        const attempt_result& result);
+    boost::asio::awaitable<filter_result> try_engines(request_context& context,
+                                                      answer_writer& writer);
+    boost::asio::awaitable<attempt_result>
+    try_engine(request_context& context,
+               answer_writer& writer,
+               const attempt_target& target);
+    boost::asio::awaitable<void> refuse(request_context& context,
+                                        const refusal& why);
+    std::optional<attempt_target> find_owner(const engine_id& engine,
+                                             bool may_go_elsewhere) const;
+    bool may_retry(const request_context& context,
+                   const answer_writer& writer,
+                   const attempt_result& result);
     void tell_home(const request_context& context, const journey& trip);
     void log_end(const request_context& context) const;
 
--- a/libs/pipeline/src/event_splitter.cpp
+++ b/libs/pipeline/src/event_splitter.cpp
@@ -4,9 +4,11 @@
 #include <charconv>
 #include <optional>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view event_end = "\n\n";
 constexpr std::string_view id_field = "id:";
@@ -63,10 +65,10 @@
 
 } // namespace
 
-event_splitter::event_splitter(
-    std::uint64_t resume_after, std::size_t max_event_bytes)
-    : m_last_event(resume_after)
-    , m_max_event_bytes(max_event_bytes)
+event_splitter::event_splitter(std::uint64_t resume_after,
+                               std::size_t max_event_bytes)
+    : m_last_event(resume_after),
+      m_max_event_bytes(max_event_bytes)
 {
 }
 
--- a/libs/pipeline/src/event_splitter.hpp
+++ b/libs/pipeline/src/event_splitter.hpp
@@ -10,7 +10,8 @@
 #include <string>
 #include <string_view>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// Whole events that a part of a stream completed.
 struct event_batch
--- a/libs/pipeline/src/exchange_codec.cpp
+++ b/libs/pipeline/src/exchange_codec.cpp
@@ -48,8 +48,8 @@
     return headers;
 }
 
-Offset<fbs::holder>
-write_holder(FlatBufferBuilder& builder, const chat_hint& held)
+Offset<fbs::holder> write_holder(FlatBufferBuilder& builder,
+                                 const chat_hint& held)
 {
     const auto engine = builder.CreateString(held.engine.get());
     return fbs::Createholder(
@@ -58,10 +58,9 @@
 
 chat_hint read_holder(const fbs::holder& table)
 {
-    return {
-        engine_id(table.engine()->str()),
-        incarnation(table.incarnation()),
-        token_count(table.tokens())};
+    return {engine_id(table.engine()->str()),
+            incarnation(table.incarnation()),
+            token_count(table.tokens())};
 }
 
 /// Writes each kind of content and remembers its union tag.
@@ -128,7 +127,7 @@
                                  static_cast<std::uint8_t>(value.reason.code),
                                  text,
                                  to_wire_ms(value.retry_after),
-                   builder.CreateVector(holders))
+                                 builder.CreateVector(holders))
             .Union();
     }
 
@@ -170,12 +169,11 @@
     {
         kind = fbs::body::load;
         const auto engine = builder.CreateString(value.engine.get());
-        return fbs::Createload(
-                   builder,
-                   engine,
-                   value.run.get(),
-                   value.in_flight,
-                   value.cached.get())
+        return fbs::Createload(builder,
+                               engine,
+                               value.run.get(),
+                               value.in_flight,
+                               value.cached.get())
             .Union();
     }
 };
@@ -271,19 +269,17 @@
     case fbs::body::placed:
     {
         const fbs::placed& placed = *table.content_as_placed();
-        return placed_message{
-            team_id(placed.team()->str()),
-            chat_id(placed.chat()->str()),
-            read_holder(*placed.held())};
+        return placed_message{team_id(placed.team()->str()),
+                              chat_id(placed.chat()->str()),
+                              read_holder(*placed.held())};
     }
     case fbs::body::load:
     {
         const fbs::load& load = *table.content_as_load();
-        return load_message{
-            engine_id(load.engine()->str()),
-            incarnation(load.incarnation()),
-            load.in_flight(),
-            token_count(load.cached_tokens())};
+        return load_message{engine_id(load.engine()->str()),
+                            incarnation(load.incarnation()),
+                            load.in_flight(),
+                            token_count(load.cached_tokens())};
     }
     case fbs::body::NONE:
         break;
--- a/libs/pipeline/src/filters.cpp
+++ b/libs/pipeline/src/filters.cpp
@@ -9,9 +9,11 @@
 #include <algorithm>
 #include <charconv>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view chat_target = "/v1/chat/completions";
 constexpr std::string_view service_prefix = "/services";
@@ -41,14 +43,13 @@
 /// Returns whether the text may stand in header fields and logs.
 bool is_plain_id(std::string_view text)
 {
-    return text.size() <= max_id_bytes &&
-        std::all_of(
-               text.begin(),
-               text.end(),
-               [](char c)
-               {
-                   return c > ' ' && c < 0x7f;
-               });
+    return text.size() <= max_id_bytes && std::all_of(text.begin(),
+                                                      text.end(),
+                                                      [](char c)
+                                                      {
+                                                          return c > ' ' &&
+                                                                 c < 0x7f;
+                                                      });
 }
 
 filter_result
@@ -61,10 +62,9 @@
     }
     if (!is_plain_id(*value))
     {
-        return bad_request(
-            std::string(name) + " must be at most " +
-            std::to_string(max_id_bytes) +
-            " printable characters without spaces");
+        return bad_request(std::string(name) + " must be at most " +
+                           std::to_string(max_id_bytes) +
+                           " printable characters without spaces");
     }
     id = *value;
     return {};
@@ -94,10 +94,9 @@
     std::string chat;
     std::string key;
     std::string hint;
-    for (const auto& [name, id] :
-         {std::pair{headers::chat, &chat},
-          std::pair{headers::idempotency_key, &key},
-          std::pair{headers::placement, &hint}})
+    for (const auto& [name, id] : {std::pair{headers::chat, &chat},
+                                   std::pair{headers::idempotency_key, &key},
+                                   std::pair{headers::placement, &hint}})
     {
         filter_result read = read_id(fields, name, *id);
         if (std::holds_alternative<refusal>(read))
@@ -118,8 +117,8 @@
     return read_resume(context);
 }
 
-void take_parameters(
-    request_context& context, const config::team_parameters& parameters)
+void take_parameters(request_context& context,
+                     const config::team_parameters& parameters)
 {
     context.priority = static_cast<std::uint8_t>(parameters.priority());
     context.team_share = parameters.share();
@@ -128,8 +127,8 @@
     context.deadline = context.received_at + parameters.deadline();
 }
 
-filter_result
-check_chat_body(request_context& context, const boost::json::object& body)
+filter_result check_chat_body(request_context& context,
+                              const boost::json::object& body)
 {
     const boost::json::value* messages = body.if_contains("messages");
     if (messages == nullptr || !messages->is_array() ||
@@ -155,8 +154,8 @@
     return {};
 }
 
-filter_result choose_model(
-    request_context& context, const config::team_parameters& parameters)
+filter_result choose_model(request_context& context,
+                           const config::team_parameters& parameters)
 {
     if (context.model.get().empty() && !parameters.models().empty())
     {
@@ -164,14 +163,14 @@
     }
     if (!parameters.allows_model(context.model.get()))
     {
-        return not_found(
-            "model '" + context.model.get() + "' is not one of the team's");
+        return not_found("model '" + context.model.get() +
+                         "' is not one of the team's");
     }
     return {};
 }
 
-filter_result classify_chat(
-    request_context& context, const config::team_parameters& parameters)
+filter_result classify_chat(request_context& context,
+                            const config::team_parameters& parameters)
 {
     if (context.forwarded.method != "POST")
     {
@@ -226,9 +225,8 @@
             headers::authorization);
     if (!field.starts_with(bearer))
     {
-        return refusal{
-            {error_code::unauthenticated,
-             "the request needs a team's key as a bearer token"}};
+        return refusal{{error_code::unauthenticated,
+                        "the request needs a team's key as a bearer token"}};
     }
     const auto digest = config::sha256(field.substr(bearer.size()));
     const auto* team = context.config->team_of_key(digest);
@@ -284,11 +282,10 @@
 {
     if (!open->open(context.team, context.max_open_requests))
     {
-        return refusal{
-            {error_code::overloaded,
-             "the team has its highest number of open requests"},
-            run_outcome::not_run,
-            open_cap_retry};
+        return refusal{{error_code::overloaded,
+                        "the team has its highest number of open requests"},
+                       run_outcome::not_run,
+                       open_cap_retry};
     }
     context.admitted = true;
     return {};
--- a/libs/pipeline/src/filters.hpp
+++ b/libs/pipeline/src/filters.hpp
@@ -11,7 +11,8 @@
 #include <mutex>
 #include <variant>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// Finds the team of the caller's key.
 struct authenticate_filter
--- a/libs/pipeline/src/fleet.cpp
+++ b/libs/pipeline/src/fleet.cpp
@@ -3,9 +3,11 @@
 #include <limpet/base/log.hpp>
 #include <limpet/http/endpoint.hpp>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
-namespace {
+namespace
+{
 
 /// Carries out one action of the membership node.
 struct action_runner
@@ -28,40 +30,36 @@
 
     void operator()(const membership::ownership_changed& change) const
     {
-        log_event(
-            log_level::info,
-            "ownership.changed",
-            {{"engine", change.engine.get()},
-             {"before", to_string(change.before)},
-             {"after", to_string(change.after)}});
+        log_event(log_level::info,
+                  "ownership.changed",
+                  {{"engine", change.engine.get()},
+                   {"before", to_string(change.before)},
+                   {"after", to_string(change.after)}});
         callbacks.on_ownership(change);
     }
 
     void operator()(const membership::superseded& newer) const
     {
-        log_event(
-            log_level::error,
-            "router.superseded",
-            {{"incarnation", newer.by.get()}});
+        log_event(log_level::error,
+                  "router.superseded",
+                  {{"incarnation", newer.by.get()}});
         callbacks.on_superseded();
     }
 };
 
 } // namespace
 
-fleet::fleet(
-    const router_settings& settings,
-    incarnation started,
-    std::uint64_t random_seed,
-    time_point now)
-    : m_node(
-          settings.membership,
-          settings.self,
-          started,
-          settings.seeds,
-          random_seed,
-          now)
-    , m_view(m_node.snapshot())
+fleet::fleet(const router_settings& settings,
+             incarnation started,
+             std::uint64_t random_seed,
+             time_point now)
+    : m_node(settings.membership,
+             settings.self,
+             started,
+             settings.seeds,
+             random_seed,
+             now),
+      m_view(m_node.snapshot())
 {
 }
 
@@ -115,22 +113,22 @@
     carry_out(std::move(todo));
 }
 
-void fleet::set_load(
-    const engine_id& engine, const membership::engine_load& load)
+void fleet::set_load(const engine_id& engine,
+                     const membership::engine_load& load)
 {
     const std::lock_guard lock(m_mutex);
     m_node.set_load(engine, load);
 }
 
-membership::ownership
-fleet::ownership_of(const engine_id& engine, time_point now) const
+membership::ownership fleet::ownership_of(const engine_id& engine,
+                                          time_point now) const
 {
     const std::lock_guard lock(m_mutex);
     return m_node.ownership_of(engine, now);
 }
 
-std::optional<membership::load_digest>
-fleet::load_of(const model_id& model, time_point now) const
+std::optional<membership::load_digest> fleet::load_of(const model_id& model,
+                                                      time_point now) const
 {
     const std::lock_guard lock(m_mutex);
     return m_node.load_of(model, now);
--- a/libs/pipeline/src/fleet.hpp
+++ b/libs/pipeline/src/fleet.hpp
@@ -3,9 +3,8 @@
 
 #pragma once
 
-#include <limpet/pipeline/router_settings.hpp>
-
 #include <limpet/membership/node.hpp>
+#include <limpet/pipeline/router_settings.hpp>
 #include <limpet/wire/link_hub.hpp>
 
 #include <atomic>
@@ -13,7 +12,8 @@
 #include <memory>
 #include <mutex>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// Owns the membership node, sends its messages and publishes its view.
 /// Thread-safe.
@@ -27,17 +27,15 @@
     {
         /// The list of routers or engines changed.
         std::function<void(const view_ptr&)> on_view;
-        std::function<void(const membership::ownership_changed&)>
-            on_ownership;
+        std::function<void(const membership::ownership_changed&)> on_ownership;
         /// A later process of this VM runs; this one must stop.
         std::function<void()> on_superseded;
     };
 
-    fleet(
-        const router_settings& settings,
-        incarnation started,
-        std::uint64_t random_seed,
-        time_point now);
+    fleet(const router_settings& settings,
+          incarnation started,
+          std::uint64_t random_seed,
+          time_point now);
 
     /// Sets the links and handlers. Call once, before anything else.
     void connect(std::shared_ptr<wire::link_hub> hub, handlers callbacks);
@@ -54,14 +52,13 @@
     /// Announces that this router leaves. Keep on ticking.
     void leave(time_point now);
 
-    void
-    set_load(const engine_id& engine, const membership::engine_load& load);
+    void set_load(const engine_id& engine, const membership::engine_load& load);
 
-    membership::ownership
-    ownership_of(const engine_id& engine, time_point now) const;
+    membership::ownership ownership_of(const engine_id& engine,
+                                       time_point now) const;
 
-    std::optional<membership::load_digest>
-    load_of(const model_id& model, time_point now) const;
+    std::optional<membership::load_digest> load_of(const model_id& model,
+                                                   time_point now) const;
 
     /// Returns whether the router knows its peers.
     bool joined() const;
--- a/libs/pipeline/src/headers.hpp
+++ b/libs/pipeline/src/headers.hpp
@@ -5,7 +5,8 @@
 
 #include <string_view>
 
-namespace limpet::pipeline::headers {
+namespace limpet::pipeline::headers
+{
 
 inline constexpr std::string_view authorization = "Authorization";
 inline constexpr std::string_view connection = "Connection";
--- a/libs/pipeline/src/owner_service.cpp
+++ b/libs/pipeline/src/owner_service.cpp
@@ -8,11 +8,13 @@
 
 #include <algorithm>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 namespace net = boost::asio;
 
-namespace {
+namespace
+{
 
 /// Time after which a caller may try an engine again that was not owned here.
 constexpr duration not_owner_retry = milliseconds(100);
@@ -30,12 +32,12 @@
     return view;
 }
 
-bool is_in_service(
-    const membership::engine_record& record, const config::config_view& view)
+bool is_in_service(const membership::engine_record& record,
+                   const config::config_view& view)
 {
     return record.accepts_work() &&
-        view.in_service(record.server.data_centre) &&
-        view.in_service(record.server.engine);
+           view.in_service(record.server.data_centre) &&
+           view.in_service(record.server.engine);
 }
 
 model_id first_model(const membership::engine_record& record)
@@ -69,12 +71,11 @@
 /// One engine's dispatcher and the facts that dispatching needs.
 struct owner_service::owned_engine
 {
-    owned_engine(
-        const membership::engine_record& from,
-        std::shared_ptr<model_bound> model)
-        : record(from)
-        , bound(std::move(model))
-        , queue(admission::dispatcher_settings{}, make_engine_view(from))
+    owned_engine(const membership::engine_record& from,
+                 std::shared_ptr<model_bound> model)
+        : record(from),
+          bound(std::move(model)),
+          queue(admission::dispatcher_settings{}, make_engine_view(from))
     {
     }
 
@@ -85,24 +86,23 @@
     bool in_service = true;
 };
 
-owner_service::owner_service(
-    net::io_context& context,
-    std::shared_ptr<wire::link_hub> hub,
-    std::shared_ptr<http::client> client,
-    std::shared_ptr<fleet> members,
-    std::shared_ptr<shared_directory> directory)
-    : m_context(context)
-    , m_hub(std::move(hub))
-    , m_client(std::move(client))
-    , m_fleet(std::move(members))
-    , m_directory(std::move(directory))
-    , m_shares(std::make_shared<admission::share_table>())
-    , m_config(std::make_shared<config::config_view>())
+owner_service::owner_service(net::io_context& context,
+                             std::shared_ptr<wire::link_hub> hub,
+                             std::shared_ptr<http::client> client,
+                             std::shared_ptr<fleet> members,
+                             std::shared_ptr<shared_directory> directory)
+    : m_context(context),
+      m_hub(std::move(hub)),
+      m_client(std::move(client)),
+      m_fleet(std::move(members)),
+      m_directory(std::move(directory)),
+      m_shares(std::make_shared<admission::share_table>()),
+      m_config(std::make_shared<config::config_view>())
 {
 }
 
-void owner_service::receive(
-    const wire::link_identity& from, exchange_message message)
+void owner_service::receive(const wire::link_identity& from,
+                            exchange_message message)
 {
     const exchange_id id = message.exchange;
     if (auto* request = std::get_if<open_message>(&message.content))
@@ -145,32 +145,30 @@
     }
 }
 
-void owner_service::open(
-    const wire::link_identity& from, exchange_id id, open_message request)
+void owner_service::open(const wire::link_identity& from,
+                         exchange_id id,
+                         open_message request)
 {
     const time_point now = monotonic_clock::now();
     const auto exchange = std::make_shared<served_exchange>(
         m_context, m_hub, m_client, from, id, std::move(request));
     if (!register_exchange(exchange))
     {
-        refuse_open(
-            exchange,
-            {error_code::cancelled, "refused after a lost link"},
-            duration::zero());
+        refuse_open(exchange,
+                    {error_code::cancelled, "refused after a lost link"},
+                    duration::zero());
         return;
     }
     const engine_id& engine_name = exchange->open().engine;
     const auto members = m_fleet->view();
     const membership::engine_entry* entry = members->find_engine(engine_name);
     const auto standing = m_fleet->ownership_of(engine_name, now);
-    if (entry == nullptr ||
-        standing.mode == membership::ownership_mode::none)
+    if (entry == nullptr || standing.mode == membership::ownership_mode::none)
     {
         forget(exchange->key());
-        refuse_open(
-            exchange,
-            {error_code::not_owner, "engine is not owned here"},
-            not_owner_retry);
+        refuse_open(exchange,
+                    {error_code::not_owner, "engine is not owned here"},
+                    not_owner_retry);
         return;
     }
     const engine_ptr engine = find_or_add_engine(*entry->engine, now);
@@ -191,8 +189,9 @@
     return m_exchanges.emplace(exchange->key(), exchange).second;
 }
 
-void owner_service::refuse_open(
-    const exchange_ptr& exchange, error reason, duration retry_after)
+void owner_service::refuse_open(const exchange_ptr& exchange,
+                                error reason,
+                                duration retry_after)
 {
     exchange->finish_not_run(
         std::move(reason), retry_after, hints_for(exchange->open()));
@@ -219,8 +218,8 @@
     exchange->post_cancel();
 }
 
-void owner_service::answer_query(
-    const wire::link_identity& from, exchange_id id)
+void owner_service::answer_query(const wire::link_identity& from,
+                                 exchange_id id)
 {
     const request_id key = make_exchange_key(from, id);
     state_message answer;
@@ -228,9 +227,9 @@
         const std::lock_guard lock(m_exchanges_mutex);
         const bool open = m_exchanges.contains(key);
         const bool seen = m_ledger.query(key, monotonic_clock::now());
-        answer.value = open ? request_state::running
-            : seen          ? request_state::finished
-                            : request_state::refused;
+        answer.value = open   ? request_state::running
+                       : seen ? request_state::finished
+                              : request_state::refused;
     }
     m_hub->send(from.vm, wire::channel::exchange, encode({id, answer}));
 }
@@ -257,8 +256,9 @@
     return found == m_engines.end() ? nullptr : found->second;
 }
 
-owner_service::engine_ptr owner_service::find_or_add_engine(
-    const membership::engine_record& record, time_point now)
+owner_service::engine_ptr
+owner_service::find_or_add_engine(const membership::engine_record& record,
+                                  time_point now)
 {
     if (engine_ptr known = find_engine(record.server.engine))
     {
@@ -308,8 +308,8 @@
     }
 }
 
-void owner_service::update(
-    const fleet::view_ptr& members, const config::view_ptr& config)
+void owner_service::update(const fleet::view_ptr& members,
+                           const config::view_ptr& config)
 {
     const time_point now = monotonic_clock::now();
     const auto shares = make_shares(*config);
@@ -335,7 +335,8 @@
             if (entry != nullptr &&
                 entry->engine->server.started != engine->record.server.started)
             {
-                engine->queue.report({entry->engine->server.started, 0, {}}, now);
+                engine->queue.report({entry->engine->server.started, 0, {}},
+                                     now);
             }
             if (entry != nullptr)
             {
@@ -409,8 +410,8 @@
     }
 }
 
-void owner_service::report(
-    const engine_id& engine, const placement::engine_report& load)
+void owner_service::report(const engine_id& engine,
+                           const placement::engine_report& load)
 {
     const engine_ptr found = find_engine(engine);
     if (!found)
@@ -457,13 +458,12 @@
     {
         const std::lock_guard engine_lock(engine->mutex);
         const std::lock_guard bound_lock(engine->bound->mutex);
-        all.push_back(
-            {id,
-             engine->queue.in_flight(),
-             engine->queue.waiting(),
-             engine->queue.limit(),
-             engine->bound->bound.bound(now),
-             engine->in_service});
+        all.push_back({id,
+                       engine->queue.in_flight(),
+                       engine->queue.waiting(),
+                       engine->queue.limit(),
+                       engine->bound->bound.bound(now),
+                       engine->in_service});
     }
     return all;
 }
@@ -505,20 +505,18 @@
         forget(key);
         if (const auto* no = std::get_if<admission::refuse_request>(&action))
         {
-            refuse_open(
-                exchange,
-                {code_of(no->why.reason),
-                 std::string(to_string(no->why.reason))},
-                no->why.retry_after);
+            refuse_open(exchange,
+                        {code_of(no->why.reason),
+                         std::string(to_string(no->why.reason))},
+                        no->why.retry_after);
             continue;
         }
-        refuse_open(
-            exchange, {error_code::overloaded, "go_elsewhere"}, {});
+        refuse_open(exchange, {error_code::overloaded, "go_elsewhere"}, {});
     }
 }
 
-void owner_service::start(
-    const engine_ptr& engine, const exchange_ptr& exchange)
+void owner_service::start(const engine_ptr& engine,
+                          const exchange_ptr& exchange)
 {
     const time_point now = monotonic_clock::now();
     dispatch_target target;
@@ -526,12 +524,13 @@
         const std::lock_guard lock(engine->mutex);
         const auto address =
             http::parse_endpoint(engine->record.server.address);
-        target.address = is_ok(address) ? value_of(address)
-                                        : net::ip::tcp::endpoint();
+        target.address =
+            is_ok(address) ? value_of(address) : net::ip::tcp::endpoint();
         target.must_echo_request =
             engine->record.server.kind == membership::server_kind::engine;
     }
-    target.fencing = m_fleet->ownership_of(exchange->open().engine, now).fencing;
+    target.fencing =
+        m_fleet->ownership_of(exchange->open().engine, now).fencing;
     net::co_spawn(
         exchange->executor(),
         [self = shared_from_this(), engine, exchange, target]()
@@ -540,8 +539,8 @@
             const auto on_first_token = [self, engine, exchange]
             {
                 const std::lock_guard lock(engine->mutex);
-                engine->queue.first_token(
-                    exchange->key(), monotonic_clock::now());
+                engine->queue.first_token(exchange->key(),
+                                          monotonic_clock::now());
             };
             const served_result result =
                 co_await exchange->run(target, on_first_token);
@@ -550,10 +549,9 @@
         net::detached);
 }
 
-void owner_service::finish(
-    const engine_ptr& engine,
-    const exchange_ptr& exchange,
-    const served_result& result)
+void owner_service::finish(const engine_ptr& engine,
+                           const exchange_ptr& exchange,
+                           const served_result& result)
 {
     const time_point now = monotonic_clock::now();
     const open_message& request = exchange->open();
@@ -595,9 +593,9 @@
 owner_service::hints_for(const open_message& request) const
 {
     std::vector<chat_hint> hints;
-    const auto holders = m_directory->find(
-        placement::make_chat_key(request.team, request.chat),
-        monotonic_clock::now());
+    const auto holders =
+        m_directory->find(placement::make_chat_key(request.team, request.chat),
+                          monotonic_clock::now());
     for (const placement::chat_holder& held : holders)
     {
         hints.push_back({held.engine, held.run, held.tokens});
@@ -605,8 +603,8 @@
     return hints;
 }
 
-admission::offer owner_service::make_offer(
-    const served_exchange& exchange, time_point now) const
+admission::offer owner_service::make_offer(const served_exchange& exchange,
+                                           time_point now) const
 {
     const open_message& request = exchange.open();
     admission::offer made;
--- a/libs/pipeline/src/owner_service.hpp
+++ b/libs/pipeline/src/owner_service.hpp
@@ -19,7 +19,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// State of an engine for operators.
 struct engine_status
@@ -37,19 +38,17 @@
 class owner_service : public std::enable_shared_from_this<owner_service>
 {
 public:
-    owner_service(
-        boost::asio::io_context& context,
-        std::shared_ptr<wire::link_hub> hub,
-        std::shared_ptr<http::client> client,
-        std::shared_ptr<fleet> members,
-        std::shared_ptr<shared_directory> directory);
+    owner_service(boost::asio::io_context& context,
+                  std::shared_ptr<wire::link_hub> hub,
+                  std::shared_ptr<http::client> client,
+                  std::shared_ptr<fleet> members,
+                  std::shared_ptr<shared_directory> directory);
 
     /// Takes a message of an exchange from its entry router.
     void receive(const wire::link_identity& from, exchange_message message);
 
     /// Takes the list of engines or the configuration after a change.
-    void update(
-        const fleet::view_ptr& members, const config::view_ptr& config);
+    void update(const fleet::view_ptr& members, const config::view_ptr& config);
 
     /// Takes a change of this router's standing towards an engine.
     void on_ownership(const membership::ownership_changed& change);
@@ -76,34 +75,33 @@
     using engine_ptr = std::shared_ptr<owned_engine>;
     using exchange_ptr = std::shared_ptr<served_exchange>;
 
-    void open(
-        const wire::link_identity& from, exchange_id id, open_message request);
+    void
+    open(const wire::link_identity& from, exchange_id id, open_message request);
     void cancel(const request_id& key);
     void answer_query(const wire::link_identity& from, exchange_id id);
-    void refuse_open(
-        const exchange_ptr& exchange, error reason, duration retry_after);
+    void refuse_open(const exchange_ptr& exchange,
+                     error reason,
+                     duration retry_after);
     bool register_exchange(const exchange_ptr& exchange);
     void forget(const request_id& key);
     exchange_ptr find_exchange(const request_id& key) const;
     engine_ptr find_engine(const engine_id& engine) const;
-    engine_ptr find_or_add_engine(
-        const membership::engine_record& record, time_point now);
+    engine_ptr find_or_add_engine(const membership::engine_record& record,
+                                  time_point now);
     std::shared_ptr<model_bound> bound_of(const model_id& model);
     void refresh_bounds(time_point now);
     void release(const engine_id& engine, time_point now);
     void poll(const engine_ptr& engine, time_point now);
-    void carry_out(
-        const engine_ptr& engine,
-        const std::vector<admission::dispatch_action>& actions);
+    void carry_out(const engine_ptr& engine,
+                   const std::vector<admission::dispatch_action>& actions);
     void start(const engine_ptr& engine, const exchange_ptr& exchange);
-    void finish(
-        const engine_ptr& engine,
-        const exchange_ptr& exchange,
-        const served_result& result);
+    void finish(const engine_ptr& engine,
+                const exchange_ptr& exchange,
+                const served_result& result);
     void publish_load(const engine_ptr& engine);
     std::vector<chat_hint> hints_for(const open_message& request) const;
-    admission::offer
-    make_offer(const served_exchange& exchange, time_point now) const;
+    admission::offer make_offer(const served_exchange& exchange,
+                                time_point now) const;
 
     boost::asio::io_context& m_context;
     std::shared_ptr<wire::link_hub> m_hub;
--- a/libs/pipeline/src/request_context.hpp
+++ b/libs/pipeline/src/request_context.hpp
@@ -14,7 +14,8 @@
 #include <string>
 #include <variant>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// What is certain about a request when its answer ends.
 enum class run_outcome
@@ -55,8 +56,8 @@
 struct request_context
 {
     request_context(http::exchange& caller_exchange, request_id request)
-        : caller(caller_exchange)
-        , id(std::move(request))
+        : caller(caller_exchange),
+          id(std::move(request))
     {
     }
 
--- a/libs/pipeline/src/request_ids.cpp
+++ b/libs/pipeline/src/request_ids.cpp
@@ -6,9 +6,11 @@
 #include <cstdio>
 #include <random>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
-namespace {
+namespace
+{
 
 std::uint64_t draw_process_number()
 {
@@ -24,21 +26,19 @@
     static const std::uint64_t process = draw_process_number();
     static std::atomic<std::uint64_t> next{1};
     std::array<char, 48> text{};
-    std::snprintf(
-        text.data(),
-        text.size(),
-        "%016llx-%llx",
-        static_cast<unsigned long long>(process),
-        static_cast<unsigned long long>(next++));
+    std::snprintf(text.data(),
+                  text.size(),
+                  "%016llx-%llx",
+                  static_cast<unsigned long long>(process),
+                  static_cast<unsigned long long>(next++));
     return request_id(text.data());
 }
 
 incarnation make_incarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return incarnation(
-        static_cast<std::uint64_t>(
-            std::chrono::duration_cast<microseconds>(now).count()));
+    return incarnation(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<microseconds>(now).count()));
 }
 
 } // namespace limpet::pipeline
--- a/libs/pipeline/src/request_ids.hpp
+++ b/libs/pipeline/src/request_ids.hpp
@@ -5,7 +5,8 @@
 
 #include <limpet/base/ids.hpp>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// Returns a request id that no other process draws. Thread-safe.
 request_id make_request_id();
--- a/libs/pipeline/src/request_metrics.cpp
+++ b/libs/pipeline/src/request_metrics.cpp
@@ -3,17 +3,18 @@
 #include <cmath>
 #include <sstream>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view other_teams = "other";
 
-void write_histogram(
-    std::ostream& out,
-    std::string_view name,
-    const std::string& team,
-    const histogram& values)
+void write_histogram(std::ostream& out,
+                     std::string_view name,
+                     const std::string& team,
+                     const histogram& values)
 {
     std::uint64_t below = 0;
     for (std::size_t i = 0; i < histogram::bucket_count; ++i)
@@ -32,8 +33,7 @@
     }
     out << name << "_sum{team=\"" << team << "\"} " << values.sum_seconds()
         << "\n";
-    out << name << "_count{team=\"" << team << "\"} " << values.count()
-        << "\n";
+    out << name << "_count{team=\"" << team << "\"} " << values.count() << "\n";
 }
 
 } // namespace
@@ -83,8 +83,7 @@
     return out.str();
 }
 
-request_metrics::team_metrics&
-request_metrics::metrics_of(const team_id& team)
+request_metrics::team_metrics& request_metrics::metrics_of(const team_id& team)
 {
     const auto known = m_teams.find(team.get());
     if (known != m_teams.end())
--- a/libs/pipeline/src/request_metrics.hpp
+++ b/libs/pipeline/src/request_metrics.hpp
@@ -13,7 +13,8 @@
 #include <mutex>
 #include <string>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// Histograms of the requests of each team. The number of teams shown is
 /// bounded; further ones count together under the name "other". Thread-safe.
--- a/libs/pipeline/src/router.cpp
+++ b/libs/pipeline/src/router.cpp
@@ -1,5 +1,3 @@
-#include <limpet/pipeline/router.hpp>
-
 #include "answers.hpp"
 #include "backend_api.hpp"
 #include "config_store.hpp"
@@ -12,6 +10,7 @@
 #include <limpet/base/log.hpp>
 #include <limpet/base/timer_service.hpp>
 #include <limpet/http/endpoint.hpp>
+#include <limpet/pipeline/router.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -19,11 +18,13 @@
 
 #include <atomic>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 namespace net = boost::asio;
 
-namespace {
+namespace
+{
 
 constexpr duration tick_period = milliseconds(50);
 constexpr duration config_poll_period = milliseconds(500);
@@ -36,17 +37,16 @@
 class running_router final : public router
 {
 public:
-    running_router(
-        net::io_context& context,
-        router_settings settings,
-        std::function<void()> on_stop)
-        : m_context(context)
-        , m_settings(std::move(settings))
-        , m_on_stop(std::move(on_stop))
-        , m_strand(net::make_strand(context))
-        , m_timers(monotonic_clock::now())
-        , m_clock(m_strand)
-        , m_incarnation(make_incarnation())
+    running_router(net::io_context& context,
+                   router_settings settings,
+                   std::function<void()> on_stop)
+        : m_context(context),
+          m_settings(std::move(settings)),
+          m_on_stop(std::move(on_stop)),
+          m_strand(net::make_strand(context)),
+          m_timers(monotonic_clock::now()),
+          m_clock(m_strand),
+          m_incarnation(make_incarnation())
     {
     }
 
@@ -77,25 +77,23 @@
         }
         m_links_ready = true;
         subscribe_timers();
-        log_event(
-            log_level::info,
-            "router.start",
-            {{"vm", m_settings.self.vm.get()},
-             {"data_centre", m_settings.self.data_centre.get()},
-             {"incarnation", m_incarnation.get()},
-             {"callers", http::to_string(callers())},
-             {"backends", http::to_string(backends())}});
+        log_event(log_level::info,
+                  "router.start",
+                  {{"vm", m_settings.self.vm.get()},
+                   {"data_centre", m_settings.self.data_centre.get()},
+                   {"incarnation", m_incarnation.get()},
+                   {"callers", http::to_string(callers())},
+                   {"backends", http::to_string(backends())}});
         return success();
     }
 
     void drain(std::function<void()> on_drained) override
     {
-        net::post(
-            m_strand,
-            [this, call = std::move(on_drained)]() mutable
-            {
-                begin_drain(std::move(call));
-            });
+        net::post(m_strand,
+                  [this, call = std::move(on_drained)]() mutable
+                  {
+                      begin_drain(std::move(call));
+                  });
     }
 
     void close() override
@@ -104,12 +102,11 @@
         m_caller_server->close();
         m_backend_server->close();
         m_hub->close();
-        net::post(
-            m_strand,
-            [this]
-            {
-                m_clock.cancel();
-            });
+        net::post(m_strand,
+                  [this]
+                  {
+                      m_clock.cancel();
+                  });
     }
 
     net::ip::tcp::endpoint callers() const override
@@ -126,10 +123,9 @@
     status open_links()
     {
         wire::link_handlers handlers;
-        handlers.on_frame = [this](
-                                const wire::link_identity& from,
-                                wire::channel kind,
-                                std::string payload)
+        handlers.on_frame = [this](const wire::link_identity& from,
+                                   wire::channel kind,
+                                   std::string payload)
         {
             take_frame(from, kind, std::move(payload));
         };
@@ -141,11 +137,10 @@
                 m_owners->on_peer_lost(peer);
             }
         };
-        const wire::link_identity self{
-            m_settings.self.vm,
-            m_settings.self.data_centre,
-            m_incarnation,
-            m_settings.self.address};
+        const wire::link_identity self{m_settings.self.vm,
+                                       m_settings.self.data_centre,
+                                       m_incarnation,
+                                       m_settings.self.address};
         auto hub = wire::link_hub::listen(
             m_context, m_settings.peers, self, {}, std::move(handlers));
         if (!is_ok(hub))
@@ -199,33 +194,31 @@
 
     entry_parts make_entry_parts()
     {
-        return {
-            m_hub,
-            m_fleet,
-            m_routes,
-            m_metrics,
-            [this]
-            {
-                return m_config.get();
-            }};
+        return {m_hub,
+                m_fleet,
+                m_routes,
+                m_metrics,
+                [this]
+                {
+                    return m_config.get();
+                }};
     }
 
     backend_api_parts make_api_parts()
     {
-        return {
-            m_hub,
-            m_fleet,
-            m_owners,
-            m_directory,
-            m_metrics,
-            [this]
-            {
-                return m_config.get();
-            },
-            [this]
-            {
-                return is_ready();
-            }};
+        return {m_hub,
+                m_fleet,
+                m_owners,
+                m_directory,
+                m_metrics,
+                [this]
+                {
+                    return m_config.get();
+                },
+                [this]
+                {
+                    return is_ready();
+                }};
     }
 
     void connect_fleet()
@@ -258,10 +251,9 @@
         co_await m_entry->handle(exchange);
     }
 
-    void take_frame(
-        const wire::link_identity& from,
-        wire::channel kind,
-        std::string payload)
+    void take_frame(const wire::link_identity& from,
+                    wire::channel kind,
+                    std::string payload)
     {
         if (!m_links_ready)
         {
@@ -279,24 +271,22 @@
             take_config(payload);
             return;
         default:
-            log_event(
-                log_level::warn,
-                "frame.unexpected",
-                {{"peer", from.vm.get()}, {"channel", to_string(kind)}});
+            log_event(log_level::warn,
+                      "frame.unexpected",
+                      {{"peer", from.vm.get()}, {"channel", to_string(kind)}});
         }
     }
 
-    void
-    take_exchange(const wire::link_identity& from, std::string_view payload)
+    void take_exchange(const wire::link_identity& from,
+                       std::string_view payload)
     {
         auto message = decode_exchange_message(payload);
         if (!is_ok(message))
         {
-            log_event(
-                log_level::warn,
-                "frame.malformed",
-                {{"peer", from.vm.get()},
-                 {"reason", error_of(message).message}});
+            log_event(log_level::warn,
+                      "frame.malformed",
+                      {{"peer", from.vm.get()},
+                       {"reason", error_of(message).message}});
             return;
         }
         exchange_message& value = value_of(message);
@@ -313,9 +303,9 @@
     static bool is_for_entry(const exchange_content& content)
     {
         return std::holds_alternative<head_message>(content) ||
-            std::holds_alternative<part_message>(content) ||
-            std::holds_alternative<finish_message>(content) ||
-            std::holds_alternative<state_message>(content);
+               std::holds_alternative<part_message>(content) ||
+               std::holds_alternative<finish_message>(content) ||
+               std::holds_alternative<state_message>(content);
     }
 
     void take_config(std::string_view payload)
@@ -323,20 +313,17 @@
         auto view = config::decode_view(payload);
         if (!is_ok(view))
         {
-            log_event(
-                log_level::warn,
-                "config.refused",
-                {{"reason", error_of(view).message}});
+            log_event(log_level::warn,
+                      "config.refused",
+                      {{"reason", error_of(view).message}});
             return;
         }
-        if (m_config.adopt(
-                std::make_shared<const config::config_view>(
-                    std::move(value_of(view)))))
+        if (m_config.adopt(std::make_shared<const config::config_view>(
+                std::move(value_of(view)))))
         {
-            log_event(
-                log_level::info,
-                "config.in_force",
-                {{"revision", m_config.get()->where().number.get()}});
+            log_event(log_level::info,
+                      "config.in_force",
+                      {{"revision", m_config.get()->where().number.get()}});
             update_routes();
         }
     }
@@ -372,26 +359,23 @@
 
     void subscribe_timers()
     {
-        m_timers.every(
-            tick_period,
-            [this](time_point now)
-            {
-                m_fleet->tick(now);
-                m_owners->tick(now);
-            });
-        m_timers.every(
-            config_poll_period,
-            [this](time_point)
-            {
-                ask_for_config();
-            });
-        net::post(
-            m_strand,
-            [this]
-            {
-                ask_for_config();
-                run_clock();
-            });
+        m_timers.every(tick_period,
+                       [this](time_point now)
+                       {
+                           m_fleet->tick(now);
+                           m_owners->tick(now);
+                       });
+        m_timers.every(config_poll_period,
+                       [this](time_point)
+                       {
+                           ask_for_config();
+                       });
+        net::post(m_strand,
+                  [this]
+                  {
+                      ask_for_config();
+                      run_clock();
+                  });
     }
 
     void run_clock()
@@ -433,8 +417,8 @@
             drain_check_period,
             [this, earliest, id, call = std::move(on_drained)](time_point now)
             {
-                const bool idle = m_entry->open_count() == 0 &&
-                    m_owners->open_count() == 0;
+                const bool idle =
+                    m_entry->open_count() == 0 && m_owners->open_count() == 0;
                 if (idle && now >= earliest)
                 {
                     m_timers.cancel(*id);
@@ -470,13 +454,12 @@
 
 } // namespace
 
-outcome<std::unique_ptr<router>> router::create(
-    net::io_context& context,
-    const router_settings& settings,
-    std::function<void()> on_stop)
+outcome<std::unique_ptr<router>> router::create(net::io_context& context,
+                                                const router_settings& settings,
+                                                std::function<void()> on_stop)
 {
-    auto made = std::make_unique<running_router>(
-        context, settings, std::move(on_stop));
+    auto made =
+        std::make_unique<running_router>(context, settings, std::move(on_stop));
     const status started = made->start();
     if (!is_ok(started))
     {
--- a/libs/pipeline/src/router_settings.cpp
+++ b/libs/pipeline/src/router_settings.cpp
@@ -1,11 +1,12 @@
-#include <limpet/pipeline/router_settings.hpp>
-
 #include <limpet/base/settings_reader.hpp>
 #include <limpet/http/endpoint.hpp>
+#include <limpet/pipeline/router_settings.hpp>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t max_threads = 64;
 constexpr std::size_t max_connections = 1'000'000;
@@ -15,8 +16,8 @@
 constexpr duration min_drain = milliseconds(0);
 constexpr duration max_drain = std::chrono::hours(1);
 
-boost::asio::ip::tcp::endpoint
-read_endpoint(settings_reader& reader, std::string_view key)
+boost::asio::ip::tcp::endpoint read_endpoint(settings_reader& reader,
+                                             std::string_view key)
 {
     const std::string text = reader.text(key);
     const auto parsed = http::parse_endpoint(text);
@@ -48,10 +49,9 @@
 
 /// Reads a list of objects, each by a function that takes its reader.
 template <class Item>
-std::vector<Item> read_list(
-    settings_reader& reader,
-    std::string_view key,
-    Item (*read)(settings_reader&))
+std::vector<Item> read_list(settings_reader& reader,
+                            std::string_view key,
+                            Item (*read)(settings_reader&))
 {
     std::vector<Item> items;
     const boost::json::value* list = reader.child(key, false);
@@ -66,9 +66,9 @@
     }
     for (const boost::json::value& entry : list->get_array())
     {
-        settings_reader item(
-            entry,
-            reader.path_of(key) + "[" + std::to_string(items.size()) + "]");
+        settings_reader item(entry,
+                             reader.path_of(key) + "[" +
+                                 std::to_string(items.size()) + "]");
         items.push_back(read(item));
         const status result = item.finish();
         if (!is_ok(result))
@@ -97,8 +97,8 @@
     {
         return {};
     }
-    const auto parsed = membership::parse_settings(
-        *object, reader.path_of("membership"));
+    const auto parsed =
+        membership::parse_settings(*object, reader.path_of("membership"));
     if (!is_ok(parsed))
     {
         reader.fail("membership", error_of(parsed).message);
@@ -129,11 +129,10 @@
     settings.log = read_log_level(reader);
     settings.max_callers = reader.number_or(
         "max_callers", settings.max_callers, 1, max_connections);
-    settings.max_body_bytes = reader.number_or(
-        "max_body_bytes",
-        settings.max_body_bytes,
-        min_body_bytes,
-        max_body_bytes);
+    settings.max_body_bytes = reader.number_or("max_body_bytes",
+                                               settings.max_body_bytes,
+                                               min_body_bytes,
+                                               max_body_bytes);
     settings.drain_timeout = reader.milliseconds_or(
         "drain_timeout_ms", settings.drain_timeout, min_drain, max_drain);
     settings.directory_chats = reader.number_or(
@@ -157,8 +156,8 @@
     auto settings = parse_router_settings(value_of(document));
     if (!is_ok(settings))
     {
-        return error{
-            error_of(settings).code, file + ": " + error_of(settings).message};
+        return error{error_of(settings).code,
+                     file + ": " + error_of(settings).message};
     }
     return settings;
 }
--- a/libs/pipeline/src/routing_table.cpp
+++ b/libs/pipeline/src/routing_table.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
-namespace {
+namespace
+{
 
 /// Time after its start in which a router takes the engines that it hears of
 /// as settled, since it cannot know when they joined.
@@ -14,15 +16,14 @@
 } // namespace
 
 routing_table::routing_table(time_point start)
-    : m_start(start)
-    , m_models(std::make_shared<model_map>())
+    : m_start(start),
+      m_models(std::make_shared<model_map>())
 {
 }
 
-void routing_table::update(
-    const fleet::view_ptr& members,
-    const config::config_view& config,
-    time_point now)
+void routing_table::update(const fleet::view_ptr& members,
+                           const config::config_view& config,
+                           time_point now)
 {
     const std::lock_guard update_lock(m_update_mutex);
     std::unordered_map<model_id, std::vector<placement::engine_view>> lists;
@@ -36,25 +37,24 @@
         view.slots = std::max<std::uint32_t>(1, record.server.slots);
         view.joined_at = joined_at(record, now);
         view.in_service = record.accepts_work() &&
-            entry.owner != membership::engine_entry::no_router &&
-            config.in_service(record.server.data_centre) &&
-            config.in_service(record.server.engine);
+                          entry.owner != membership::engine_entry::no_router &&
+                          config.in_service(record.server.data_centre) &&
+                          config.in_service(record.server.engine);
         for (const model_id& model : record.server.models)
         {
             lists[model].push_back(view);
         }
     }
-    std::erase_if(
-        m_seen,
-        [&members](const auto& item)
-        {
-            return members->find_engine(item.first) == nullptr;
-        });
+    std::erase_if(m_seen,
+                  [&members](const auto& item)
+                  {
+                      return members->find_engine(item.first) == nullptr;
+                  });
     auto models = std::make_shared<model_map>();
     for (const auto& [model, engines] : lists)
     {
-        models->emplace(
-            model, std::make_shared<const placement::chooser>(engines));
+        models->emplace(model,
+                        std::make_shared<const placement::chooser>(engines));
     }
     const std::lock_guard lock(m_mutex);
     m_models = std::move(models);
@@ -71,8 +71,8 @@
     return found == models->end() ? nullptr : found->second;
 }
 
-time_point routing_table::joined_at(
-    const membership::engine_record& engine, time_point now)
+time_point routing_table::joined_at(const membership::engine_record& engine,
+                                    time_point now)
 {
     const bool learning = now - m_start < learning_time;
     const time_point first = learning ? now - settled_age : now;
--- a/libs/pipeline/src/routing_table.hpp
+++ b/libs/pipeline/src/routing_table.hpp
@@ -12,7 +12,8 @@
 #include <mutex>
 #include <unordered_map>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// Builds each model's chooser anew when the list of engines or the
 /// configuration changes. Thread-safe.
@@ -25,10 +26,9 @@
     explicit routing_table(time_point start);
 
     /// Takes the list of engines and the configuration after a change.
-    void update(
-        const fleet::view_ptr& members,
-        const config::config_view& config,
-        time_point now);
+    void update(const fleet::view_ptr& members,
+                const config::config_view& config,
+                time_point now);
 
     /// Returns the engines of the model, or null if there are none.
     chooser_ptr find(const model_id& model) const;
@@ -41,8 +41,8 @@
     };
     using model_map = std::unordered_map<model_id, chooser_ptr>;
 
-    time_point joined_at(
-        const membership::engine_record& engine, time_point now);
+    time_point joined_at(const membership::engine_record& engine,
+                         time_point now);
 
     time_point m_start;
     std::mutex m_update_mutex;
--- a/libs/pipeline/src/served_exchange.cpp
+++ b/libs/pipeline/src/served_exchange.cpp
@@ -10,11 +10,13 @@
 #include <algorithm>
 #include <array>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 namespace net = boost::asio;
 
-namespace {
+namespace
+{
 
 constexpr std::size_t max_event_bytes = 1024 * 1024;
 constexpr std::string_view event_stream_type = "text/event-stream";
@@ -35,7 +37,7 @@
 bool is_engine_trouble(unsigned status)
 {
     return status == status_too_many_requests ||
-        (status >= status_bad_gateway && status <= status_gateway_timeout);
+           (status >= status_bad_gateway && status <= status_gateway_timeout);
 }
 
 bool is_event_stream(const http::response_head& head)
@@ -63,32 +65,31 @@
 
 request_id make_exchange_key(const wire::link_identity& entry, exchange_id id)
 {
-    return request_id(
-        entry.vm.get() + "/" + std::to_string(entry.start.get()) + "/" +
-        std::to_string(id.get()));
+    return request_id(entry.vm.get() + "/" + std::to_string(entry.start.get()) +
+                      "/" + std::to_string(id.get()));
 }
 
-served_exchange::served_exchange(
-    net::io_context& context,
-    std::shared_ptr<wire::link_hub> hub,
-    std::shared_ptr<http::client> client,
-    wire::link_identity entry,
-    exchange_id id,
-    open_message open)
-    : m_strand(net::make_strand(context))
-    , m_hub(std::move(hub))
-    , m_client(std::move(client))
-    , m_entry(std::move(entry))
-    , m_id(id)
-    , m_open(std::move(open))
-    , m_key(make_exchange_key(m_entry, m_id))
-    , m_credit_signal(m_strand)
-    , m_credit(initial_credit_bytes)
+served_exchange::served_exchange(net::io_context& context,
+                                 std::shared_ptr<wire::link_hub> hub,
+                                 std::shared_ptr<http::client> client,
+                                 wire::link_identity entry,
+                                 exchange_id id,
+                                 open_message open)
+    : m_strand(net::make_strand(context)),
+      m_hub(std::move(hub)),
+      m_client(std::move(client)),
+      m_entry(std::move(entry)),
+      m_id(id),
+      m_open(std::move(open)),
+      m_key(make_exchange_key(m_entry, m_id)),
+      m_credit_signal(m_strand),
+      m_credit(initial_credit_bytes)
 {
 }
 
-net::awaitable<served_result> served_exchange::run(
-    dispatch_target target, std::function<void()> on_first_token)
+net::awaitable<served_result>
+served_exchange::run(dispatch_target target,
+                     std::function<void()> on_first_token)
 {
     m_on_first_token = std::move(on_first_token);
     if (m_cancelled)
@@ -108,8 +109,8 @@
         send_finish(broken(failure->reason));
         co_return served_result{0, true};
     }
-    m_answer = std::move(
-        std::get<std::unique_ptr<http::response_stream>>(sent));
+    m_answer =
+        std::move(std::get<std::unique_ptr<http::response_stream>>(sent));
     const status checked = check_head(target, m_answer->head());
     if (!is_ok(checked))
     {
@@ -118,8 +119,7 @@
         co_return served_result{0, true};
     }
     finish_message last = co_await relay_answer();
-    const bool failed =
-        last.result != finish_result::complete && !m_cancelled;
+    const bool failed = last.result != finish_result::complete && !m_cancelled;
     send_finish(std::move(last));
     m_answer.reset();
     co_return served_result{m_events, failed};
@@ -127,32 +127,31 @@
 
 void served_exchange::post_credit(std::uint32_t bytes)
 {
-    net::post(
-        m_strand,
-        [self = shared_from_this(), bytes]
-        {
-            self->m_credit += bytes;
-            self->m_credit_signal.cancel();
-        });
+    net::post(m_strand,
+              [self = shared_from_this(), bytes]
+              {
+                  self->m_credit += bytes;
+                  self->m_credit_signal.cancel();
+              });
 }
 
 void served_exchange::post_cancel()
 {
-    net::post(
-        m_strand,
-        [self = shared_from_this()]
-        {
-            self->m_cancelled = true;
-            self->m_credit_signal.cancel();
-            if (self->m_answer)
-            {
-                self->m_answer->cancel();
-            }
-        });
+    net::post(m_strand,
+              [self = shared_from_this()]
+              {
+                  self->m_cancelled = true;
+                  self->m_credit_signal.cancel();
+                  if (self->m_answer)
+                  {
+                      self->m_answer->cancel();
+                  }
+              });
 }
 
-void served_exchange::finish_not_run(
-    error reason, duration retry_after, std::vector<chat_hint> holders)
+void served_exchange::finish_not_run(error reason,
+                                     duration retry_after,
+                                     std::vector<chat_hint> holders)
 {
     finish_message message;
     message.result = finish_result::not_run;
@@ -162,8 +161,7 @@
     send_finish(std::move(message));
 }
 
-http::request
-served_exchange::make_request(const dispatch_target& target) const
+http::request served_exchange::make_request(const dispatch_target& target) const
 {
     http::request request = m_open.call;
     for (const std::string_view name : hop_fields)
@@ -172,41 +170,38 @@
     }
     request.headers.set(headers::request, m_open.request.get());
     // Teams choose their chats' names, so the team is part of the name.
-    request.headers.set(
-        headers::chat, m_open.team.get() + "/" + m_open.chat.get());
+    request.headers.set(headers::chat,
+                        m_open.team.get() + "/" + m_open.chat.get());
     request.headers.set(headers::priority, std::to_string(m_open.priority));
-    request.headers.set(
-        headers::fencing, std::to_string(target.fencing.get()));
+    request.headers.set(headers::fencing, std::to_string(target.fencing.get()));
     if (m_open.resume_after > 0)
     {
-        request.headers.set(
-            headers::last_event_id, std::to_string(m_open.resume_after));
+        request.headers.set(headers::last_event_id,
+                            std::to_string(m_open.resume_after));
     }
     return request;
 }
 
-status served_exchange::check_head(
-    const dispatch_target& target, const http::response_head& head) const
+status served_exchange::check_head(const dispatch_target& target,
+                                   const http::response_head& head) const
 {
     const std::string* echoed = head.headers.find(headers::request);
     const bool wrong = echoed != nullptr && *echoed != m_open.request.get();
     const bool missing = echoed == nullptr && target.must_echo_request;
     if (wrong || missing)
     {
-        log_event(
-            log_level::warn,
-            "answer.dropped",
-            {{"engine", m_open.engine.get()},
-             {"request", m_open.request.get()},
-             {"answered", echoed == nullptr ? "" : *echoed}});
-        return error{
-            error_code::malformed, "engine answered another request"};
+        log_event(log_level::warn,
+                  "answer.dropped",
+                  {{"engine", m_open.engine.get()},
+                   {"request", m_open.request.get()},
+                   {"answered", echoed == nullptr ? "" : *echoed}});
+        return error{error_code::malformed, "engine answered another request"};
     }
     if (m_open.repeatable && is_engine_trouble(head.status))
     {
-        return error{
-            error_code::unavailable,
-            "engine answered with status " + std::to_string(head.status)};
+        return error{error_code::unavailable,
+                     "engine answered with status " +
+                         std::to_string(head.status)};
     }
     return success();
 }
@@ -326,10 +321,9 @@
 void served_exchange::send(exchange_content content)
 {
     // A frame that cannot be sent leaves a gap that the entry router notices.
-    m_hub->send(
-        m_entry.vm,
-        wire::channel::exchange,
-        encode({m_id, std::move(content)}));
+    m_hub->send(m_entry.vm,
+                wire::channel::exchange,
+                encode({m_id, std::move(content)}));
 }
 
 void served_exchange::send_finish(finish_message message)
--- a/libs/pipeline/src/served_exchange.hpp
+++ b/libs/pipeline/src/served_exchange.hpp
@@ -5,9 +5,8 @@
 
 #include "event_splitter.hpp"
 
-#include <limpet/pipeline/exchange_message.hpp>
-
 #include <limpet/http/client.hpp>
+#include <limpet/pipeline/exchange_message.hpp>
 #include <limpet/wire/link_hub.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -19,7 +18,8 @@
 #include <memory>
 #include <string>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// Where and how a request is sent to its engine.
 struct dispatch_target
@@ -44,13 +44,12 @@
 class served_exchange : public std::enable_shared_from_this<served_exchange>
 {
 public:
-    served_exchange(
-        boost::asio::io_context& context,
-        std::shared_ptr<wire::link_hub> hub,
-        std::shared_ptr<http::client> client,
-        wire::link_identity entry,
-        exchange_id id,
-        open_message open);
+    served_exchange(boost::asio::io_context& context,
+                    std::shared_ptr<wire::link_hub> hub,
+                    std::shared_ptr<http::client> client,
+                    wire::link_identity entry,
+                    exchange_id id,
+                    open_message open);
 
     const wire::link_identity& entry() const noexcept
     {
@@ -87,17 +86,16 @@
 
     /// Sends the last message of an exchange that was not dispatched.
     /// Thread-safe.
-    void finish_not_run(
-        error reason,
-        duration retry_after,
-        std::vector<chat_hint> holders);
+    void finish_not_run(error reason,
+                        duration retry_after,
+                        std::vector<chat_hint> holders);
 
 private:
     using strand = boost::asio::strand<boost::asio::io_context::executor_type>;
 
     http::request make_request(const dispatch_target& target) const;
-    status check_head(
-        const dispatch_target& target, const http::response_head& head) const;
+    status check_head(const dispatch_target& target,
+                      const http::response_head& head) const;
     boost::asio::awaitable<finish_message> relay_answer();
     boost::asio::awaitable<finish_message> relay_events();
     boost::asio::awaitable<finish_message> relay_bytes();
--- a/libs/pipeline/src/shared_directory.cpp
+++ b/libs/pipeline/src/shared_directory.cpp
@@ -1,6 +1,7 @@
 #include "shared_directory.hpp"
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 shared_directory::shared_directory(std::size_t capacity, duration keep)
 {
@@ -10,28 +11,27 @@
     }
 }
 
-void shared_directory::record(
-    placement::chat_key chat,
-    const engine_id& engine,
-    incarnation run,
-    token_count tokens,
-    time_point now)
+void shared_directory::record(placement::chat_key chat,
+                              const engine_id& engine,
+                              incarnation run,
+                              token_count tokens,
+                              time_point now)
 {
     shard& part = shard_of(chat);
     const std::lock_guard lock(part.mutex);
     part.chats.record(chat, engine, run, tokens, now);
 }
 
-placement::chat_holders
-shared_directory::find(placement::chat_key chat, time_point now) const
+placement::chat_holders shared_directory::find(placement::chat_key chat,
+                                               time_point now) const
 {
     shard& part = shard_of(chat);
     const std::lock_guard lock(part.mutex);
     return part.chats.find(chat, now);
 }
 
-void shared_directory::forget_holder(
-    placement::chat_key chat, const engine_id& engine)
+void shared_directory::forget_holder(placement::chat_key chat,
+                                     const engine_id& engine)
 {
     shard& part = shard_of(chat);
     const std::lock_guard lock(part.mutex);
--- a/libs/pipeline/src/shared_directory.hpp
+++ b/libs/pipeline/src/shared_directory.hpp
@@ -9,7 +9,8 @@
 #include <memory>
 #include <mutex>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// Splits the chats over several directories, each under its own lock.
 /// Thread-safe.
@@ -20,16 +21,15 @@
     shared_directory(std::size_t capacity, duration keep);
 
     /// See placement::chat_directory::record.
-    void record(
-        placement::chat_key chat,
-        const engine_id& engine,
-        incarnation run,
-        token_count tokens,
-        time_point now);
+    void record(placement::chat_key chat,
+                const engine_id& engine,
+                incarnation run,
+                token_count tokens,
+                time_point now);
 
     /// See placement::chat_directory::find.
-    placement::chat_holders
-    find(placement::chat_key chat, time_point now) const;
+    placement::chat_holders find(placement::chat_key chat,
+                                 time_point now) const;
 
     /// Forgets the chat if the engine is the last that served it.
     void forget_holder(placement::chat_key chat, const engine_id& engine);
--- a/libs/pipeline/src/status_report.cpp
+++ b/libs/pipeline/src/status_report.cpp
@@ -3,25 +3,25 @@
 #include <sstream>
 #include <unordered_map>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
-namespace {
+namespace
+{
 
 boost::json::object describe(const membership::router_record& router)
 {
-    return {
-        {"vm", router.self.vm.get()},
-        {"data_centre", router.self.data_centre.get()},
-        {"region", router.self.region.get()},
-        {"address", router.self.address},
-        {"state", to_string(router.state)},
-        {"ready", router.ready}};
+    return {{"vm", router.self.vm.get()},
+            {"data_centre", router.self.data_centre.get()},
+            {"region", router.self.region.get()},
+            {"address", router.self.address},
+            {"state", to_string(router.state)},
+            {"ready", router.ready}};
 }
 
-boost::json::object describe(
-    const membership::engine_entry& entry,
-    const membership::view& members,
-    const engine_status* owned)
+boost::json::object describe(const membership::engine_entry& entry,
+                             const membership::view& members,
+                             const engine_status* owned)
 {
     const membership::engine_record& record = *entry.engine;
     const auto* owner = members.owner_of(record.server.engine);
@@ -66,16 +66,15 @@
     for (const membership::engine_entry& entry : inputs.members->engines())
     {
         const auto found = owned.find(entry.engine->server.engine);
-        engines.push_back(describe(
-            entry,
-            *inputs.members,
-            found == owned.end() ? nullptr : found->second));
+        engines.push_back(
+            describe(entry,
+                     *inputs.members,
+                     found == owned.end() ? nullptr : found->second));
     }
     return {
         {"vm", inputs.self.vm.get()},
         {"incarnation", inputs.self.start.get()},
-        {"revision",
-         inputs.config ? inputs.config->where().number.get() : 0},
+        {"revision", inputs.config ? inputs.config->where().number.get() : 0},
         {"routers", std::move(routers)},
         {"engines", std::move(engines)}};
 }
--- a/libs/pipeline/src/status_report.hpp
+++ b/libs/pipeline/src/status_report.hpp
@@ -14,7 +14,8 @@
 #include <string>
 #include <vector>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// Facts that a status report is made from.
 struct status_inputs
--- a/libs/wire/src/outgoing_link.cpp
+++ b/libs/wire/src/outgoing_link.cpp
@@ -235,9 +235,10 @@
             return;
         }
     }
-    log_event(log_level::warn,
-              "link.lost",
-              {{"peer", m_peer.get()}, {"address", http::to_string(m_address)}});
+    log_event(
+        log_level::warn,
+        "link.lost",
+        {{"peer", m_peer.get()}, {"address", http::to_string(m_address)}});
     m_on_lost(m_peer);
 }
 
