--- a/libs/consensus/src/message_codec.cpp
+++ b/libs/consensus/src/message_codec.cpp
@@ -1,6 +1,6 @@
 #include <limpet/consensus/message_codec.hpp>
 
-#include <consensus_generated.hpp>
+#include <consensus_generated.h>
 #include <utility>
 
 namespace limpet::consensus
--- a/libs/pipeline/include/limpet/pipeline/exchange_message.hpp
+++ b/libs/pipeline/include/limpet/pipeline/exchange_message.hpp
@@ -35,6 +35,9 @@
     std::uint32_t share_weight = 1;
     bool repeatable = false;
     bool stream = false;
+    /// Whether this is the request's first try, which may be sent on to an
+    /// engine that holds more of the chat.
+    bool is_first = false;
     /// Whether the entry router has another engine to try. Otherwise the
     /// request waits here.
     bool may_go_elsewhere = true;
@@ -91,7 +94,7 @@
     std::vector<chat_hint> holders;
 };
 
-/// Tells the chat's home which engine served it.
+/// Tells a keeper of the chat's directory entry which engine served it.
 struct placed_message
 {
     team_id team;
--- a/libs/pipeline/src/attempt.cpp
+++ b/libs/pipeline/src/attempt.cpp
@@ -155,6 +155,7 @@
     open.repeatable = m_context.repeatable;
     const auto* chat = std::get_if<chat_call>(&m_context.call);
     open.stream = chat != nullptr && chat->stream;
+    open.is_first = m_target.is_first;
     open.may_go_elsewhere = m_target.may_go_elsewhere;
     open.deadline = m_context.deadline - now;
     open.queue_time = m_context.queue_time;
--- a/libs/pipeline/src/attempt.hpp
+++ b/libs/pipeline/src/attempt.hpp
@@ -98,6 +98,8 @@
     engine_id engine;
     vm_id owner;
     incarnation owner_start;
+    /// Whether this is the request's first try.
+    bool is_first = false;
     /// Whether the entry router has another engine to try.
     bool may_go_elsewhere = true;
 };
--- a/libs/pipeline/src/entry_service.cpp
+++ b/libs/pipeline/src/entry_service.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
+#include <random>
+#include <set>
 
 namespace limpet::pipeline
 {
@@ -27,6 +29,8 @@
 constexpr std::uint32_t max_attempts = 12;
 /// Time for the list of owners to change before another try.
 constexpr duration owner_retry_delay = milliseconds(100);
+/// Age up to which an engine counts as having room.
+constexpr duration spare_keep = seconds(1);
 /// Time after which to try again when no engine could be reached.
 constexpr duration unavailable_retry = seconds(1);
 
@@ -44,6 +48,13 @@
     return holders;
 }
 
+/// Returns whether no other engine can do better.
+bool is_final(const attempt_result& result, const placement::stop& stop)
+{
+    return result.reason.code == error_code::cancelled ||
+           (stop.is_last && result.reason.code != error_code::not_owner);
+}
+
 refusal no_engine(const model_id& model)
 {
     return {{error_code::unavailable,
@@ -54,77 +65,11 @@
 
 } // namespace
 
-/// Engines that one request has tried and will try.
-struct entry_service::journey
-{
-    journey(routing_table::chooser_ptr engines_of_model,
-            placement::route planned)
-        : engines(std::move(engines_of_model)),
-          plan(std::move(planned)),
-          next(plan.order)
-    {
-    }
-
-    /// Returns the engine to try next. Once `tries` engines had no room, the
-    /// request queues at its first choice.
-    std::optional<placement::engine_index> take(std::size_t tries)
-    {
-        if (next.empty() || tried.size() >= tries)
-        {
-            if (queued || plan.order.empty())
-            {
-                return std::nullopt;
-            }
-            queued = true;
-            return first_usable();
-        }
-        const placement::engine_index chosen = next.front();
-        next.erase(next.begin());
-        if (tried.size() < tried.capacity())
-        {
-            tried.push_back(chosen);
-        }
-        return chosen;
-    }
-
-    /// Tries the engine again, at its new owner.
-    void put_back(placement::engine_index index)
-    {
-        queued = false;
-        tried.erase(std::remove(tried.begin(), tried.end(), index),
-                    tried.end());
-        if (next.size() == next.capacity())
-        {
-            next.pop_back();
-        }
-        next.insert(next.begin(), index);
-    }
-
-    std::optional<placement::engine_index> first_usable() const
-    {
-        for (const placement::engine_index index : plan.order)
-        {
-            if (std::find(failed.begin(), failed.end(), index) == failed.end())
-            {
-                return index;
-            }
-        }
-        return std::nullopt;
-    }
-
-    routing_table::chooser_ptr engines;
-    placement::route plan;
-    placement::engine_order next;
-    placement::engine_order tried;
-    /// Engines that broke off or could not be reached.
-    std::vector<placement::engine_index> failed;
-    bool queued = false;
-};
-
 entry_service::entry_service(entry_parts parts)
     : m_parts(std::move(parts)),
       m_open(std::make_shared<open_requests>()),
-      m_budget(retry_ratio, retry_burst)
+      m_budget(retry_ratio, retry_burst),
+      m_random(std::random_device{}())
 {
     m_filters = {
         authenticate_filter{}, classify_filter{}, admit_filter{m_open}};
@@ -249,14 +194,12 @@
     {
         co_return no_engine(context.model);
     }
-    const placement::chat_key chat =
-        placement::make_chat_key(context.team, context.chat);
-    journey trip(
-        engines,
-        placement::plan_route(*engines,
-                              {chat, context.returning, context.placement_hint},
-                              m_route_settings,
-                              monotonic_clock::now()));
+    const placement::route_request wanted{
+        placement::make_chat_key(context.team, context.chat),
+        context.returning,
+        context.placement_hint};
+    placement::itinerary trip(
+        engines, wanted, m_route_settings, monotonic_clock::now());
     {
         const std::lock_guard lock(m_budget_mutex);
         m_budget.on_request();
@@ -265,59 +208,56 @@
     while (context.attempts < max_attempts &&
            monotonic_clock::now() < context.deadline)
     {
-        const auto index = trip.take(m_route_settings.tries);
-        if (!index)
-        {
-            break;
-        }
-        const engine_id& engine = engines->engine(*index).id;
-        const auto target = find_owner(engine, !trip.queued);
+        ++context.attempts;
+        const placement::stop stop = next_stop(context.model, trip);
+        context.engine = engines->engine(stop.engine).id;
+        const auto target = find_owner(context.engine, stop);
         if (!target)
         {
-            trip.failed.push_back(*index);
+            co_await wait_for(owner_retry_delay);
             continue;
         }
-        ++context.attempts;
-        context.engine = engine;
         const attempt_result result =
             co_await try_engine(context, writer, *target);
         if (result.result == finish_result::complete)
         {
-            tell_home(context, trip);
+            tell_keepers(context, trip);
             co_return std::monostate{};
         }
-        if (result.result == finish_result::not_run)
+        const bool not_run = result.result == finish_result::not_run;
+        last = {result.reason,
+                not_run ? run_outcome::not_run : run_outcome::unknown,
+                result.retry_after};
+        if (not_run ? is_final(result, stop)
+                    : !may_retry(context, writer, result))
         {
-            last = {result.reason, run_outcome::not_run, result.retry_after};
-            trip.next = placement::prefer_holders(
-                *engines, trip.next, to_holders(result.holders), trip.tried);
-            if (result.reason.code == error_code::cancelled)
-            {
-                break;
-            }
-            if (result.reason.code == error_code::not_owner)
-            {
-                trip.put_back(*index);
-                co_await wait_for(owner_retry_delay);
-            }
-            continue;
+            break;
         }
-        last = {result.reason, run_outcome::unknown, {}};
-        trip.failed.push_back(*index);
-        if (!may_retry(context, writer, result))
+        if (not_run)
         {
-            break;
+            trip.add_holders(to_holders(result.holders));
+        }
+        else
+        {
+            writer.restart();
+        }
+        if (result.reason.code == error_code::not_owner)
+        {
+            co_await wait_for(owner_retry_delay);
         }
-        writer.restart();
-    }
-    if (context.repeatable && !writer.started() &&
-        last.outcome == run_outcome::unknown)
-    {
-        last.retry_after = unavailable_retry;
     }
     co_return last;
 }
 
+placement::stop entry_service::next_stop(const model_id& model,
+                                         placement::itinerary& trip)
+{
+    const std::lock_guard lock(m_spares_mutex);
+    placement::spare_list& spares =
+        m_spares.try_emplace(model, spare_keep).first->second;
+    return trip.next(spares, m_random, monotonic_clock::now());
+}
+
 net::awaitable<attempt_result>
 entry_service::try_engine(request_context& context,
                           answer_writer& writer,
@@ -344,7 +284,8 @@
 }
 
 std::optional<attempt_target>
-entry_service::find_owner(const engine_id& engine, bool may_go_elsewhere) const
+entry_service::find_owner(const engine_id& engine,
+                          const placement::stop& stop) const
 {
     const auto view = m_parts.members->view();
     const membership::router_record* owner = view->owner_of(engine);
@@ -353,7 +294,7 @@
         return std::nullopt;
     }
     return attempt_target{
-        engine, owner->self.vm, owner->started, may_go_elsewhere};
+        engine, owner->self.vm, owner->started, stop.is_first, !stop.is_last};
 }
 
 bool entry_service::may_retry(const request_context& context,
@@ -368,31 +309,36 @@
     return m_budget.try_retry();
 }
 
-void entry_service::tell_home(const request_context& context,
-                              const journey& trip)
+void entry_service::tell_keepers(const request_context& context,
+                                 const placement::itinerary& trip)
 {
-    if (!context.returning)
+    const auto served = trip.engines().find(context.engine);
+    if (!context.returning || !served || !trip.is_news(context.engine))
     {
         return;
     }
-    const auto view = m_parts.members->view();
-    const auto* home = view->owner_of(trip.engines->engine(trip.plan.home).id);
-    const auto* server = view->owner_of(context.engine);
-    const auto served = trip.engines->find(context.engine);
-    if (home == nullptr || home == server || !served)
-    {
-        return;
-    }
-    placed_message placed{
+    const placed_message placed{
         context.team,
         context.chat,
         {context.engine,
-         trip.engines->engine(*served).run,
+         trip.engines().engine(*served).run,
          token_count(context.prompt_tokens + context.events)}};
-    // A lost message costs cache reuse only.
-    m_parts.hub->send(home->self.vm,
-                      wire::channel::exchange,
-                      encode({exchange_id(0), std::move(placed)}));
+    const auto view = m_parts.members->view();
+    const auto* server = view->owner_of(context.engine);
+    std::set<vm_id> told;
+    for (const placement::engine_index keeper : trip.keepers())
+    {
+        const auto* owner = view->owner_of(trip.engines().engine(keeper).id);
+        if (owner == nullptr || owner == server ||
+            !told.insert(owner->self.vm).second)
+        {
+            continue;
+        }
+        // A lost message costs cache reuse only.
+        m_parts.hub->send(owner->self.vm,
+                          wire::channel::exchange,
+                          encode({exchange_id(0), placed}));
+    }
 }
 
 void entry_service::log_end(const request_context& context) const
--- a/libs/pipeline/src/entry_service.hpp
+++ b/libs/pipeline/src/entry_service.hpp
@@ -11,12 +11,14 @@
 #include "routing_table.hpp"
 
 #include <limpet/admission/retry_budget.hpp>
-#include <limpet/placement/route.hpp>
+#include <limpet/base/random.hpp>
+#include <limpet/placement/itinerary.hpp>
 
 #include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <unordered_map>
 #include <vector>
 
 namespace limpet::pipeline
@@ -57,8 +59,6 @@
     }
 
 private:
-    struct journey;
-
     filter_result run_filters(request_context& context);
     boost::asio::awaitable<void> run(request_context& context);
     boost::asio::awaitable<claims::settle>
@@ -73,12 +73,15 @@
                const attempt_target& target);
     boost::asio::awaitable<void> refuse(request_context& context,
                                         const refusal& why);
+    placement::stop next_stop(const model_id& model,
+                              placement::itinerary& trip);
     std::optional<attempt_target> find_owner(const engine_id& engine,
-                                             bool may_go_elsewhere) const;
+                                             const placement::stop& stop) const;
     bool may_retry(const request_context& context,
                    const answer_writer& writer,
                    const attempt_result& result);
-    void tell_home(const request_context& context, const journey& trip);
+    void tell_keepers(const request_context& context,
+                      const placement::itinerary& trip);
     void log_end(const request_context& context) const;
 
     entry_parts m_parts;
@@ -88,6 +91,9 @@
     placement::route_settings m_route_settings;
     std::mutex m_budget_mutex;
     admission::retry_budget m_budget;
+    std::mutex m_spares_mutex;
+    std::unordered_map<model_id, placement::spare_list> m_spares;
+    random_source m_random;
     std::atomic<std::size_t> m_open_count{0};
 };
 
--- a/libs/pipeline/src/exchange_codec.cpp
+++ b/libs/pipeline/src/exchange_codec.cpp
@@ -85,6 +85,7 @@
                                value.share_weight,
                                value.repeatable,
                                value.stream,
+                               value.is_first,
                                value.may_go_elsewhere,
                                to_wire_ms(value.deadline),
                                to_wire_ms(value.queue_time),
@@ -192,6 +193,7 @@
     value.share_weight = table.share_weight();
     value.repeatable = table.repeatable();
     value.stream = table.stream();
+    value.is_first = table.is_first();
     value.may_go_elsewhere = table.may_go_elsewhere();
     value.deadline = milliseconds(table.deadline_ms());
     value.queue_time = milliseconds(table.queue_ms());
--- a/libs/pipeline/src/owner_service.cpp
+++ b/libs/pipeline/src/owner_service.cpp
@@ -2,11 +2,13 @@
 
 #include <limpet/base/log.hpp>
 #include <limpet/http/endpoint.hpp>
+#include <limpet/placement/itinerary.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <chrono>
 
 namespace limpet::pipeline
 {
@@ -63,6 +65,13 @@
                                         : record.server.models.front();
 }
 
+/// Returns the VMs' common clock, which counts load epochs.
+duration common_clock()
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::system_clock::now().time_since_epoch());
+}
+
 std::shared_ptr<const admission::share_table>
 make_shares(const config::config_view& view)
 {
@@ -189,6 +198,14 @@
                     not_owner_retry);
         return;
     }
+    const auto holders = holders_of(exchange->open(), now);
+    if (exchange->open().is_first && exchange->open().may_go_elsewhere &&
+        placement::is_better_elsewhere(holders, engine_name))
+    {
+        forget(exchange->key());
+        refuse_open(exchange, {error_code::overloaded, "cached elsewhere"}, {});
+        return;
+    }
     const engine_ptr engine = find_or_add_engine(*entry->engine, now);
     {
         const std::lock_guard lock(engine->mutex);
@@ -314,17 +331,21 @@
 void owner_service::refresh_bounds(time_point now)
 {
     const vm_id region_sum("region");
+    const duration common = common_clock();
     const std::shared_lock lock(m_engines_mutex);
     for (const auto& [model, bound] : m_bounds)
     {
         const auto load = m_fleet->load_of(model, now);
-        if (!load)
+        const std::lock_guard bound_lock(bound->mutex);
+        if (load)
         {
-            continue;
+            bound->bound.set_engines(load->eligible, now);
+            bound->bound.report(region_sum,
+                                {placement::epoch_of(common - load->age),
+                                 load->eligible,
+                                 load->in_flight});
         }
-        const std::lock_guard bound_lock(bound->mutex);
-        bound->bound.set_engines(load->eligible, now);
-        bound->bound.report(region_sum, {load->in_flight, now - load->age});
+        bound->bound.advance(placement::epoch_of(common), now);
     }
 }
 
@@ -471,7 +492,6 @@
 
 std::vector<engine_status> owner_service::engines() const
 {
-    const time_point now = monotonic_clock::now();
     std::vector<engine_status> all;
     const std::shared_lock lock(m_engines_mutex);
     for (const auto& [id, engine] : m_engines)
@@ -482,7 +502,7 @@
                        engine->queue.in_flight(),
                        engine->queue.waiting(),
                        engine->queue.limit(),
-                       engine->bound->bound.bound(now),
+                       engine->bound->bound.bound(),
                        engine->in_service});
     }
     return all;
@@ -609,14 +629,19 @@
     m_fleet->set_load(id, load);
 }
 
+placement::chat_holders owner_service::holders_of(const open_message& request,
+                                                  time_point now) const
+{
+    return m_directory->find(
+        placement::make_chat_key(request.team, request.chat), now);
+}
+
 std::vector<chat_hint>
 owner_service::hints_for(const open_message& request) const
 {
     std::vector<chat_hint> hints;
-    const auto holders =
-        m_directory->find(placement::make_chat_key(request.team, request.chat),
-                          monotonic_clock::now());
-    for (const placement::chat_holder& held : holders)
+    for (const placement::chat_holder& held :
+         holders_of(request, monotonic_clock::now()))
     {
         hints.push_back({held.engine, held.run, held.tokens});
     }
@@ -637,15 +662,9 @@
     made.item.deadline = now + std::min(request.deadline, request.queue_time);
     made.prompt = token_count(request.cost_tokens);
     made.may_go_elsewhere = request.may_go_elsewhere;
-    const auto holders = m_directory->find(
-        placement::make_chat_key(request.team, request.chat), now);
-    for (const placement::chat_holder& held : holders)
-    {
-        if (held.engine == request.engine)
-        {
-            made.cached = std::min(made.prompt, held.tokens);
-        }
-    }
+    made.cached = std::min(
+        made.prompt,
+        placement::cached_at(holders_of(request, now), request.engine));
     return made;
 }
 
--- a/libs/pipeline/src/owner_service.hpp
+++ b/libs/pipeline/src/owner_service.hpp
@@ -101,6 +101,8 @@
                 const exchange_ptr& exchange,
                 const served_result& result);
     void publish_load(const engine_ptr& engine);
+    placement::chat_holders holders_of(const open_message& request,
+                                       time_point now) const;
     std::vector<chat_hint> hints_for(const open_message& request) const;
     admission::offer make_offer(const served_exchange& exchange,
                                 time_point now) const;
