Hosted replica: node, disk thread and callbacks on one event loop

Daemons need the log behind a simple interface that never blocks their event loop.

A new group may start from a backup.

The checker of the interleavings now also fails if a leader's lease outlasts the election of another, since stale reads show that only by luck.

--- a/libs/consensus/include/limpet/consensus/testing/fake_group.hpp
+++ b/libs/consensus/include/limpet/consensus/testing/fake_group.hpp
@@ -81,7 +81,7 @@
     void change(std::size_t vm, const membership_change& change);
     void hand_over(std::size_t vm);
 
-    /// Ends the VM's process; with power, unsynced writes are lost.
+    /// Ends the VM's process. Unsynced writes are lost at the restart.
     void crash(std::size_t vm);
     void restart(std::size_t vm);
 
@@ -114,7 +114,7 @@
 
     storage::testing::fake_disk& disk(std::size_t vm);
 
-    /// Lets the VM's clock read a time in fake time.
+    /// Returns the time in fake time.
     time_point now() const
     {
         return m_now;
@@ -143,6 +143,7 @@
 
     void start(std::size_t vm);
     void step(std::size_t vm, event what);
+    void check_leases();
     void handle(std::size_t vm, actions work);
     void send(std::size_t vm, const message& content);
     void deliver(std::size_t vm, const std::vector<std::uint8_t>& bytes);
--- a/libs/consensus/interleavings/interleavings_test.cpp
+++ b/libs/consensus/interleavings/interleavings_test.cpp
@@ -89,7 +89,7 @@
         result.consensus.trailing_entries = m_random.below(8);
         result.consensus.snapshot_chunk_bytes = 48;
         result.consensus.window_entries = 1 + m_random.below(16);
-        result.consensus.append_bytes = 20 + m_random.below(200);
+        result.consensus.append_bytes = 1 + m_random.below(100);
         result.snapshot_interval = 2 + m_random.below(20);
         result.snapshot_padding = m_random.below(200);
         if (m_random.chance(0.3))
--- a/libs/consensus/src/fake_group.cpp
+++ b/libs/consensus/src/fake_group.cpp
@@ -35,6 +35,7 @@
     log_index snapshot;
     std::vector<persist_request> writes;
     bool writing = false;
+    bool leads = false;
     /// Number of the process; calls scheduled for an earlier one are void.
     std::uint64_t starts = 0;
     duration clock_offset{};
@@ -105,6 +106,7 @@
     ++state.starts;
     state.writes.clear();
     state.writing = false;
+    state.leads = false;
     state.reads.clear();
     state.commands.clear();
     storage::recovered_state found;
@@ -154,7 +156,42 @@
     handle(vm, std::move(work));
     if (state.node)
     {
-        m_checker.saw_view(state.node->view(local));
+        const node_view view = state.node->view(local);
+        state.leads = view.role == node_role::leader;
+        m_checker.saw_view(view);
+        check_leases();
+    }
+}
+
+/// While a leader's lease lasts, no other replica leads in a later term.
+void fake_group::check_leases()
+{
+    const auto leads = [](const std::unique_ptr<vm_state>& state)
+    {
+        return state->node && state->leads;
+    };
+    if (std::count_if(m_vms.begin(), m_vms.end(), leads) < 2)
+    {
+        return;
+    }
+    std::vector<node_view> leaders;
+    for (std::size_t vm = 0; vm < m_vms.size(); ++vm)
+    {
+        if (leads(m_vms[vm]))
+        {
+            leaders.push_back(view(vm));
+        }
+    }
+    for (const node_view& first : leaders)
+    {
+        for (const node_view& second : leaders)
+        {
+            if (first.has_lease && first.term < second.term)
+            {
+                m_checker.fail("lease outlasts the election in term " +
+                               std::to_string(second.term.get()));
+            }
+        }
     }
 }
 
--- a/libs/replica/include/limpet/replica/replica.hpp
+++ b/libs/replica/include/limpet/replica/replica.hpp
@@ -33,6 +33,9 @@
     std::vector<vm_id> group;
     /// Existing folder for the log and snapshots.
     std::string folder;
+    /// State that a new group begins with, as save() returned it: a backup.
+    /// Without effect unless this replica founds the group.
+    std::optional<std::string> initial_data;
     /// Entries applied since the last snapshot before the next is taken.
     std::uint64_t snapshot_interval_entries = 10'000;
     consensus::settings consensus;
@@ -148,9 +151,9 @@
 private:
     class impl;
 
-    explicit replica(std::unique_ptr<impl> body);
+    explicit replica(std::shared_ptr<impl> body);
 
-    std::unique_ptr<impl> m_impl;
+    std::shared_ptr<impl> m_impl;
 };
 
 } // namespace limpet::replica
--- /dev/null
+++ b/libs/replica/src/replica_impl.cpp
@@ -0,0 +1,445 @@
+#include "replica_impl.hpp"
+
+#include <limpet/base/log.hpp>
+#include <limpet/consensus/message_codec.hpp>
+
+#include <boost/asio/post.hpp>
+
+#include <chrono>
+#include <random>
+
+namespace limpet::replica
+{
+
+namespace
+{
+
+/// Ticks in each heartbeat interval.
+constexpr int ticks_in_heartbeat = 5;
+
+/// Election timeouts that a stop waits for another leader.
+constexpr int stop_timeouts = 2;
+
+/// Each new storage must have a higher number than the VM's former ones.
+incarnation fresh_incarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto passed =
+        std::chrono::duration_cast<std::chrono::nanoseconds>(now);
+    return incarnation{static_cast<std::uint64_t>(passed.count())};
+}
+
+std::uint64_t random_seed()
+{
+    constexpr unsigned half = 32;
+    std::random_device source;
+    return (std::uint64_t{source()} << half) | source();
+}
+
+error refusal()
+{
+    return {error_code::not_leader, "the replica is not the leader"};
+}
+
+error unknown_fate()
+{
+    return {error_code::unavailable,
+            "leadership was lost before the command was committed"};
+}
+
+error stopped()
+{
+    return {error_code::unavailable, "the replica stopped"};
+}
+
+} // namespace
+
+replica::impl::impl(boost::asio::io_context& context,
+                    replica_settings settings,
+                    replica_callbacks callbacks,
+                    std::unique_ptr<storage::posix_file_system> files)
+    : m_context(context),
+      m_timer(context),
+      m_settings(std::move(settings)),
+      m_callbacks(std::move(callbacks)),
+      m_files(std::move(files))
+{
+}
+
+outcome<std::shared_ptr<replica::impl>>
+replica::impl::open(boost::asio::io_context& context,
+                    replica_settings settings,
+                    replica_callbacks callbacks)
+{
+    auto files = storage::posix_file_system::open_folder(settings.folder);
+    if (!is_ok(files))
+    {
+        return error_of(files);
+    }
+    auto result = std::make_shared<impl>(context,
+                                         std::move(settings),
+                                         std::move(callbacks),
+                                         value_of(std::move(files)));
+    if (auto opened = result->open_storage(); !is_ok(opened))
+    {
+        return error_of(opened);
+    }
+    return result;
+}
+
+status replica::impl::open_storage()
+{
+    consensus::node_start begin;
+    auto opened = storage::log_store::open(
+        *m_files, {}, fresh_incarnation(), begin.state);
+    if (!is_ok(opened))
+    {
+        return error_of(opened);
+    }
+    log_event(log_level::info,
+              "storage_opened",
+              {{"folder", m_settings.folder},
+               {"incarnation", begin.state.storage.get()},
+               {"entries", begin.state.entries.size()},
+               {"torn_bytes", begin.state.torn_bytes}});
+    if (begin.state.base)
+    {
+        m_callbacks.restore(begin.state.base->data);
+        m_snapshot = begin.state.base->index;
+        m_applied = m_snapshot;
+    }
+    begin.self = m_settings.self;
+    begin.group = m_settings.group;
+    begin.initial_data = m_settings.initial_data;
+    begin.seed = random_seed();
+    m_node = std::make_unique<consensus::node>(
+        m_settings.consensus, std::move(begin), monotonic_clock::now());
+    const auto self = weak_from_this();
+    auto& context = m_context;
+    m_writer = std::make_unique<disk_writer>(
+        value_of(std::move(opened)),
+        [self, &context](const outcome<consensus::persist_number>& last)
+        {
+            boost::asio::post(context,
+                              [self, last]
+                              {
+                                  if (const auto body = self.lock())
+                                  {
+                                      body->written(last);
+                                  }
+                              });
+        });
+    return success();
+}
+
+void replica::impl::start()
+{
+    tick();
+}
+
+void replica::impl::tick()
+{
+    if (m_stopped)
+    {
+        return;
+    }
+    run(consensus::tick{});
+    continue_stop();
+    m_timer.expires_after(m_settings.consensus.heartbeat_interval /
+                          ticks_in_heartbeat);
+    m_timer.async_wait(
+        [self = weak_from_this()](const boost::system::error_code& failure)
+        {
+            const auto body = self.lock();
+            if (body && !failure)
+            {
+                body->tick();
+            }
+        });
+}
+
+consensus::ticket replica::impl::next_ticket()
+{
+    m_last_ticket = consensus::ticket{m_last_ticket.get() + 1};
+    return m_last_ticket;
+}
+
+void replica::impl::propose(std::string command, proposal_callback done)
+{
+    if (m_stopped || m_stop_done)
+    {
+        done(refusal());
+        return;
+    }
+    const auto id = next_ticket();
+    m_proposals[id] = std::move(done);
+    m_batch.push_back({id, std::move(command)});
+    if (m_batch.size() > 1)
+    {
+        return;
+    }
+    // Commands that arrive in one turn of the event loop share messages.
+    boost::asio::post(m_context,
+                      [self = weak_from_this()]
+                      {
+                          if (const auto body = self.lock())
+                          {
+                              body->flush_proposals();
+                          }
+                      });
+}
+
+void replica::impl::flush_proposals()
+{
+    consensus::propose batch;
+    batch.proposals.swap(m_batch);
+    run(std::move(batch));
+}
+
+void replica::impl::read_barrier(status_callback done)
+{
+    if (m_stopped)
+    {
+        done(refusal());
+        return;
+    }
+    const auto id = next_ticket();
+    m_requests[id] = std::move(done);
+    run(consensus::read_barrier{id});
+}
+
+void replica::impl::change(consensus::membership_change change,
+                           status_callback done)
+{
+    if (m_stopped)
+    {
+        done(refusal());
+        return;
+    }
+    const auto id = next_ticket();
+    m_requests[id] = std::move(done);
+    run(consensus::change_membership{id, std::move(change)});
+}
+
+void replica::impl::receive(const vm_id& from,
+                            const std::vector<std::uint8_t>& bytes)
+{
+    auto content = consensus::decode_message(bytes);
+    if (!content || content->from.vm != from)
+    {
+        ++m_malformed;
+        log_event(log_level::warn,
+                  "replica_message_malformed",
+                  {{"from", from.get()}, {"count", m_malformed}});
+        return;
+    }
+    run(consensus::message_received{std::move(*content)});
+}
+
+/// Events that callbacks cause wait for the present one to be handled.
+void replica::impl::run(consensus::event what)
+{
+    if (m_stopped)
+    {
+        return;
+    }
+    m_events.push_back(std::move(what));
+    if (m_running)
+    {
+        return;
+    }
+    m_running = true;
+    while (!m_events.empty() && !m_stopped)
+    {
+        auto next = std::move(m_events.front());
+        m_events.pop_front();
+        handle(m_node->step(monotonic_clock::now(), std::move(next)));
+    }
+    m_running = false;
+}
+
+void replica::impl::handle(consensus::actions work)
+{
+    if (!work.persists.empty())
+    {
+        m_writer->add(std::move(work.persists));
+    }
+    for (const consensus::message& content : work.sends)
+    {
+        m_callbacks.send(content.to.vm, consensus::encode_message(content));
+    }
+    apply(work);
+    take_snapshot_if_due();
+}
+
+void replica::impl::apply(const consensus::actions& work)
+{
+    if (work.restore)
+    {
+        m_callbacks.restore(work.restore->data);
+        m_applied = work.restore->index;
+        m_snapshot = m_applied;
+    }
+    std::map<log_index, std::string> answers;
+    for (const storage::log_entry& entry : work.apply)
+    {
+        m_applied = entry.index;
+        if (entry.kind == storage::entry_kind::command)
+        {
+            answers[entry.index] = m_callbacks.apply(entry.index, entry.data);
+        }
+    }
+    for (const consensus::request_result& result : work.results)
+    {
+        answer(result, std::move(answers[result.index]));
+    }
+}
+
+void replica::impl::answer(const consensus::request_result& result,
+                           std::string text)
+{
+    const bool done = result.state == consensus::request_state::done;
+    const bool refused = result.state == consensus::request_state::refused;
+    const error reason = refused ? refusal() : unknown_fate();
+    if (auto proposal = m_proposals.extract(result.id))
+    {
+        if (done)
+        {
+            proposal.mapped()(proposal_result{result.index, std::move(text)});
+        }
+        else
+        {
+            proposal.mapped()(reason);
+        }
+    }
+    if (auto request = m_requests.extract(result.id))
+    {
+        request.mapped()(done ? success() : status(reason));
+    }
+}
+
+void replica::impl::take_snapshot_if_due()
+{
+    const auto applied = m_applied.get() - m_snapshot.get();
+    if (applied < m_settings.snapshot_interval_entries)
+    {
+        return;
+    }
+    m_snapshot = m_applied;
+    m_events.push_back(consensus::compact{m_applied, m_callbacks.save()});
+}
+
+void replica::impl::written(const outcome<consensus::persist_number>& last)
+{
+    if (!is_ok(last))
+    {
+        fail(error_of(last));
+        return;
+    }
+    run(consensus::persisted{value_of(last)});
+}
+
+void replica::impl::fail(const error& reason)
+{
+    if (m_stopped)
+    {
+        return;
+    }
+    log_event(log_level::error, "storage_failed", {{"reason", reason.message}});
+    m_stopped = true;
+    m_timer.cancel();
+    fail_all(reason);
+    if (m_callbacks.failed)
+    {
+        m_callbacks.failed(reason);
+    }
+}
+
+void replica::impl::fail_all(const error& reason)
+{
+    const auto proposals = std::move(m_proposals);
+    const auto requests = std::move(m_requests);
+    m_proposals.clear();
+    m_requests.clear();
+    const error unknown{error_code::unavailable, reason.message};
+    for (const auto& [id, done] : proposals)
+    {
+        done(unknown);
+    }
+    for (const auto& [id, done] : requests)
+    {
+        done(unknown);
+    }
+}
+
+void replica::impl::stop(status_callback done)
+{
+    if (m_stopped || m_stop_done)
+    {
+        done(success());
+        return;
+    }
+    m_stop_done = std::move(done);
+    m_stop_deadline = monotonic_clock::now() +
+                      stop_timeouts * m_settings.consensus.election_timeout;
+    flush_proposals();
+    run(consensus::hand_over{});
+    continue_stop();
+}
+
+void replica::impl::continue_stop()
+{
+    if (!m_stop_done || m_stopped)
+    {
+        return;
+    }
+    const auto now = monotonic_clock::now();
+    const consensus::node_view state = m_node->view(now);
+    const bool can_hand_over = state.role == consensus::node_role::leader &&
+                               state.members.voters() > 1;
+    if (can_hand_over && now < m_stop_deadline)
+    {
+        return;
+    }
+    m_stopped = true;
+    m_timer.cancel();
+    // The writer finishes what it has before its thread ends.
+    m_writer.reset();
+    fail_all(stopped());
+    const auto done = std::move(m_stop_done);
+    m_stop_done = nullptr;
+    done(success());
+}
+
+void replica::impl::close()
+{
+    m_stopped = true;
+    m_timer.cancel();
+    m_writer.reset();
+}
+
+replica_view replica::impl::view() const
+{
+    const consensus::node_view state = m_node->view(monotonic_clock::now());
+    replica_view result;
+    result.self = state.self;
+    result.term = state.term;
+    result.is_leader = state.role == consensus::node_role::leader;
+    result.has_lease = state.has_lease;
+    result.leader = state.leader;
+    result.last = state.last;
+    result.committed = state.committed;
+    result.applied = state.applied;
+    result.snapshot = state.snapshot;
+    for (const auto& [id, role] : state.members.members())
+    {
+        const auto match = state.match.find(id);
+        const auto stored =
+            match == state.match.end() ? log_index{} : match->second;
+        result.members.push_back(
+            {id, role == consensus::member_role::voter, stored});
+    }
+    return result;
+}
+
+} // namespace limpet::replica
--- /dev/null
+++ b/libs/replica/src/replica_impl.hpp
@@ -0,0 +1,78 @@
+/// \file
+/// Body of a replica.
+
+#pragma once
+
+#include "disk_writer.hpp"
+
+#include <limpet/consensus/node.hpp>
+#include <limpet/replica/replica.hpp>
+#include <limpet/storage/posix_file_system.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <map>
+
+namespace limpet::replica
+{
+
+/// Owned by the replica and, weakly, by calls under way on the io_context.
+class replica::impl : public std::enable_shared_from_this<replica::impl>
+{
+public:
+    static outcome<std::shared_ptr<impl>> open(boost::asio::io_context& context,
+                                               replica_settings settings,
+                                               replica_callbacks callbacks);
+
+    impl(boost::asio::io_context& context,
+         replica_settings settings,
+         replica_callbacks callbacks,
+         std::unique_ptr<storage::posix_file_system> files);
+
+    void start();
+    void propose(std::string command, proposal_callback done);
+    void read_barrier(status_callback done);
+    void receive(const vm_id& from, const std::vector<std::uint8_t>& bytes);
+    void change(consensus::membership_change change, status_callback done);
+    void stop(status_callback done);
+    void close();
+    replica_view view() const;
+
+private:
+    status open_storage();
+    void tick();
+    void flush_proposals();
+    void run(consensus::event what);
+    void handle(consensus::actions work);
+    void apply(const consensus::actions& work);
+    void answer(const consensus::request_result& result, std::string text);
+    void written(const outcome<consensus::persist_number>& last);
+    void fail(const error& reason);
+    void fail_all(const error& reason);
+    void take_snapshot_if_due();
+    void continue_stop();
+    consensus::ticket next_ticket();
+
+    boost::asio::io_context& m_context;
+    boost::asio::steady_timer m_timer;
+    replica_settings m_settings;
+    replica_callbacks m_callbacks;
+    std::unique_ptr<storage::posix_file_system> m_files;
+    std::unique_ptr<disk_writer> m_writer;
+    std::unique_ptr<consensus::node> m_node;
+    std::deque<consensus::event> m_events;
+    bool m_running = false;
+    bool m_stopped = false;
+    std::vector<consensus::proposal> m_batch;
+    std::map<consensus::ticket, proposal_callback> m_proposals;
+    std::map<consensus::ticket, status_callback> m_requests;
+    consensus::ticket m_last_ticket;
+    log_index m_applied;
+    log_index m_snapshot;
+    status_callback m_stop_done;
+    time_point m_stop_deadline;
+    std::uint64_t m_malformed = 0;
+};
+
+} // namespace limpet::replica
--- /dev/null
+++ b/libs/replica/test/replica_test.cpp
@@ -0,0 +1,336 @@
+#include <limpet/replica/replica.hpp>
+
+#include <boost/asio/post.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <map>
+
+namespace limpet::replica
+{
+
+namespace
+{
+
+constexpr std::uint64_t snapshot_interval = 40;
+
+/// A folder that is removed in the end.
+class temporary_folder
+{
+public:
+    temporary_folder()
+        : m_path((std::filesystem::temp_directory_path() / "limpet-XXXXXX")
+                     .string())
+    {
+        BOOST_REQUIRE(::mkdtemp(m_path.data()) != nullptr);
+    }
+
+    ~temporary_folder()
+    {
+        std::filesystem::remove_all(m_path);
+    }
+
+    const std::string& path() const
+    {
+        return m_path;
+    }
+
+private:
+    std::string m_path;
+};
+
+/// Replicas on real disks in one event loop. The state machine of each keeps
+/// all commands as one string.
+struct replica_fixture
+{
+    struct vm
+    {
+        std::unique_ptr<replica> process;
+        std::string state;
+    };
+
+    temporary_folder folder;
+    boost::asio::io_context context;
+    std::vector<vm_id> names{vm_id{"a"}, vm_id{"b"}, vm_id{"c"}};
+    std::map<vm_id, vm> vms;
+
+    std::string folder_of(const vm_id& name) const
+    {
+        return folder.path() + "/" + name.get();
+    }
+
+    status start(const vm_id& name,
+                 std::optional<std::string> initial = std::nullopt)
+    {
+        std::filesystem::create_directory(folder_of(name));
+        replica_settings settings;
+        settings.self = name;
+        settings.group = names;
+        settings.folder = folder_of(name);
+        settings.initial_data = std::move(initial);
+        settings.snapshot_interval_entries = snapshot_interval;
+        settings.consensus.heartbeat_interval = milliseconds(30);
+        settings.consensus.election_timeout = milliseconds(250);
+        settings.consensus.trailing_entries = 10;
+        auto opened = replica::open(context, settings, callbacks_of(name));
+        if (!is_ok(opened))
+        {
+            return error_of(opened);
+        }
+        vms[name].process = value_of(std::move(opened));
+        vms[name].process->start();
+        return success();
+    }
+
+    replica_callbacks callbacks_of(const vm_id& name)
+    {
+        vm& owner = vms[name];
+        owner.state.clear();
+        replica_callbacks result;
+        result.apply = [&owner](log_index, std::string_view command)
+        {
+            owner.state.append(command);
+            return std::to_string(owner.state.size());
+        };
+        result.save = [&owner]
+        {
+            return owner.state;
+        };
+        result.restore = [&owner](std::string_view state)
+        {
+            owner.state = state;
+        };
+        result.send =
+            [this, name](const vm_id& to, std::vector<std::uint8_t> bytes)
+        {
+            boost::asio::post(context,
+                              [this, name, to, bytes = std::move(bytes)]
+                              {
+                                  if (vms[to].process)
+                                  {
+                                      vms[to].process->receive(name, bytes);
+                                  }
+                              });
+        };
+        return result;
+    }
+
+    void start_all()
+    {
+        for (const vm_id& name : names)
+        {
+            BOOST_REQUIRE(is_ok(start(name)));
+        }
+        run_until(
+            [this]
+            {
+                return is_whole();
+            });
+    }
+
+    template <class Condition>
+    void run_until(Condition condition)
+    {
+        while (!condition())
+        {
+            context.run_one();
+        }
+    }
+
+    replica* leader()
+    {
+        for (auto& [name, owner] : vms)
+        {
+            if (owner.process && owner.process->view().has_lease)
+            {
+                return owner.process.get();
+            }
+        }
+        return nullptr;
+    }
+
+    /// All run, are voters and have the same state.
+    bool is_whole()
+    {
+        const auto* leading = leader();
+        if (leading == nullptr)
+        {
+            return false;
+        }
+        const replica_view view = leading->view();
+        std::size_t voters = 0;
+        for (const member_view& member : view.members)
+        {
+            voters += member.voter ? 1 : 0;
+        }
+        for (const vm_id& name : names)
+        {
+            const auto& process = vms[name].process;
+            if (!process || process->view().applied != view.last)
+            {
+                return false;
+            }
+        }
+        return voters == names.size();
+    }
+
+    /// Proposes until the command is acknowledged.
+    void commit(const std::string& command)
+    {
+        while (!try_commit(command))
+        {
+        }
+    }
+
+    /// Returns false if the command is certain to have no effect.
+    bool try_commit(const std::string& command)
+    {
+        run_until(
+            [this]
+            {
+                return leader() != nullptr;
+            });
+        std::optional<status> answer;
+        leader()->propose(command,
+                          [&](const outcome<proposal_result>& result)
+                          {
+                              answer =
+                                  is_ok(result) ? success() : error_of(result);
+                          });
+        run_until(
+            [&]
+            {
+                return answer.has_value();
+            });
+        const bool done = is_ok(*answer);
+        BOOST_REQUIRE(done || error_of(*answer).code == error_code::not_leader);
+        return done;
+    }
+
+    void check_all_have(const std::string& state)
+    {
+        run_until(
+            [this]
+            {
+                return is_whole();
+            });
+        for (const vm_id& name : names)
+        {
+            BOOST_TEST(vms[name].state == state);
+        }
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(replica_suite, replica_fixture)
+
+BOOST_AUTO_TEST_CASE(replicas_restarted_after_500_changes_keep_state)
+{
+    start_all();
+    std::string expected;
+    for (int i = 0; i < 500; ++i)
+    {
+        commit("x");
+        expected += "x";
+    }
+    for (const vm_id& name : names)
+    {
+        vms[name].process.reset();
+    }
+    start_all();
+    check_all_have(expected);
+}
+
+BOOST_AUTO_TEST_CASE(replica_wiped_is_rebuilt_from_its_peers)
+{
+    start_all();
+    std::string expected;
+    for (int i = 0; i < 100; ++i)
+    {
+        commit("y");
+        expected += "y";
+    }
+    const vm_id& wiped = names[0];
+    const replica_id former = vms[wiped].process->view().self;
+    vms[wiped].process.reset();
+    std::filesystem::remove_all(folder_of(wiped));
+    commit("z");
+    BOOST_REQUIRE(is_ok(start(wiped)));
+    check_all_have(expected + "z");
+    BOOST_TEST((vms[wiped].process->view().self != former));
+}
+
+BOOST_AUTO_TEST_CASE(leader_stopped_hands_over_and_refuses_commands)
+{
+    start_all();
+    commit("1");
+    replica* former = leader();
+    bool stopped = false;
+    former->stop(
+        [&](const status&)
+        {
+            stopped = true;
+        });
+    bool refused = false;
+    former->propose("2",
+                    [&](const outcome<proposal_result>& result)
+                    {
+                        refused = !is_ok(result) && error_of(result).code ==
+                                                        error_code::not_leader;
+                    });
+    BOOST_TEST(refused);
+    run_until(
+        [&]
+        {
+            return stopped && leader() != nullptr && leader() != former;
+        });
+    commit("3");
+}
+
+BOOST_AUTO_TEST_CASE(read_barrier_at_leader_only_succeeds)
+{
+    start_all();
+    int answers = 0;
+    int readable = 0;
+    for (auto& [name, owner] : vms)
+    {
+        owner.process->read_barrier(
+            [&](const status& result)
+            {
+                ++answers;
+                readable += is_ok(result) ? 1 : 0;
+            });
+    }
+    run_until(
+        [&]
+        {
+            return answers == 3;
+        });
+    BOOST_TEST(readable == 1);
+}
+
+BOOST_AUTO_TEST_CASE(group_founded_from_backup_starts_with_it)
+{
+    for (const vm_id& name : names)
+    {
+        BOOST_REQUIRE(is_ok(start(name, "backup")));
+    }
+    check_all_have("backup");
+}
+
+BOOST_AUTO_TEST_CASE(replica_with_folder_in_use_or_damaged_is_not_opened)
+{
+    start_all();
+    BOOST_TEST(!is_ok(start(names[0])));
+    vms[names[0]].process.reset();
+    std::filesystem::resize_file(folder_of(names[0]) + "/identity", 3);
+    const status opened = start(names[0]);
+    BOOST_REQUIRE(!is_ok(opened));
+    BOOST_CHECK(error_of(opened).code == error_code::corrupt);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace limpet::replica
