--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -1,10 +1,14 @@
+#include "control_state.hpp"
+
 #include <limpet/base/log.hpp>
-#include <limpet/base/settings_reader.hpp>
-#include <limpet/config/authorise.hpp>
+#include <limpet/config/config_publisher.hpp>
+#include <limpet/config/force_table.hpp>
+#include <limpet/config/operator_api.hpp>
 #include <limpet/config/state_machine.hpp>
 #include <limpet/control/control_server.hpp>
 #include <limpet/http/endpoint.hpp>
 #include <limpet/http/server.hpp>
+#include <limpet/wire/call_message.hpp>
 #include <limpet/wire/link_hub.hpp>
 
 #include <boost/json.hpp>
@@ -19,8 +23,6 @@
 namespace
 {
 
-constexpr std::string_view bearer = "Bearer ";
-
 std::uint64_t unix_ms()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -28,22 +30,21 @@
         std::chrono::duration_cast<milliseconds>(now).count());
 }
 
-http::response make_json(unsigned status, const boost::json::value& body)
+http::response to_http(const config::api_response& made)
 {
     http::response answer;
-    answer.head.status = status;
+    answer.head.status = made.status;
     answer.head.headers.set("Content-Type", "application/json");
-    answer.body = boost::json::serialize(body);
+    answer.body = boost::json::serialize(made.body);
     return answer;
 }
 
-http::response make_error(unsigned status, const error& reason)
+http::response make_text(std::string text)
 {
-    return make_json(status,
-                     boost::json::object{
-                         {"error",
-                          boost::json::object{{"code", to_string(reason.code)},
-                                              {"message", reason.message}}}});
+    http::response answer;
+    answer.head.headers.set("Content-Type", "text/plain");
+    answer.body = std::move(text);
+    return answer;
 }
 
 class running_server final : public control_server
@@ -61,11 +62,15 @@
         wire::link_handlers handlers;
         handlers.on_frame = [this](const wire::link_identity& from,
                                    wire::channel kind,
-                                   std::string)
+                                   std::string payload)
         {
             if (kind == wire::channel::config)
             {
-                send_config(from);
+                take_config(from, payload);
+            }
+            if (kind == wire::channel::control)
+            {
+                take_call(from, payload);
             }
         };
         handlers.on_lost = [](const vm_id&) {};
@@ -115,78 +120,122 @@
     }
 
 private:
-    void send_config(const wire::link_identity& from)
+    void take_config(const wire::link_identity& from, std::string_view payload)
     {
         const auto address = http::parse_endpoint(from.address);
-        if (!is_ok(address))
+        const auto message = config::decode_distribution(payload);
+        if (!is_ok(message) || !is_ok(address))
         {
+            log_event(
+                log_level::warn, "frame.malformed", {{"peer", from.vm.get()}});
             return;
         }
         m_hub->set_peer(from.vm, value_of(address));
-        m_hub->send(from.vm,
-                    wire::channel::config,
-                    config::encode_view(*m_state.view()));
+        const time_point now = monotonic_clock::now();
+        std::vector<config::outgoing_message> out;
+        if (const auto* sync =
+                std::get_if<config::sync_message>(&value_of(message)))
+        {
+            if (sync->report)
+            {
+                m_force.receive(from.vm, *sync->report, now);
+            }
+            m_publisher.receive(from.vm, *sync, served(), now, out);
+        }
+        else if (const auto* part =
+                     std::get_if<config::part_request>(&value_of(message)))
+        {
+            m_publisher.receive(from.vm, *part, served(), now, out);
+        }
+        send(out);
     }
 
-    net::awaitable<void> handle(http::exchange& caller)
+    config::served_config served() const
     {
-        http::response answer = answer_to(caller.received());
-        co_await caller.respond(std::move(answer));
+        return {m_state.config().view(), m_state.config().history()};
     }
 
-    http::response answer_to(const http::request& request)
+    void send(const std::vector<config::outgoing_message>& messages)
     {
-        if (request.target == "/healthz")
+        for (const config::outgoing_message& item : messages)
         {
-            return make_json(200, "ok");
+            m_hub->send(
+                item.to, wire::channel::config, config::encode(item.content));
         }
-        if (request.method == "POST" && request.target == "/v1/commands")
-        {
-            return take_command(request);
-        }
-        return make_error(404, {error_code::not_found, "no such resource"});
     }
 
-    http::response take_command(const http::request& request)
+    void take_call(const wire::link_identity& from, std::string_view payload)
     {
-        const auto document = parse_json(request.body);
-        if (!is_ok(document))
+        const auto address = http::parse_endpoint(from.address);
+        const auto message = wire::decode_call_message(payload);
+        if (!is_ok(message) || !is_ok(address) ||
+            !std::holds_alternative<wire::call>(value_of(message)))
         {
-            return make_error(400, error_of(document));
+            log_event(
+                log_level::warn, "frame.malformed", {{"peer", from.vm.get()}});
+            return;
         }
-        auto command = config::parse_command(value_of(document));
-        if (!is_ok(command))
+        m_hub->set_peer(from.vm, value_of(address));
+        const auto& call = std::get<wire::call>(value_of(message));
+        auto order = claims::decode_command(call.payload);
+        wire::reply reply{call.id, std::string(), m_settings.vm};
+        if (is_ok(order))
         {
-            return make_error(400, error_of(command));
+            value_of(order).at_ms = unix_ms();
+            reply.result =
+                m_state.apply(++m_index, make_entry(value_of(order)));
         }
-        config::command& order = value_of(command);
-        order.submitted_unix_ms = unix_ms();
-        const std::string_view field =
-            request.headers.value_or_empty("Authorization");
-        const auto* author =
-            field.starts_with(bearer)
-                ? m_state.view()->operator_of_token(
-                      config::sha256(field.substr(bearer.size())))
-                : nullptr;
-        if (author != nullptr)
+        else
         {
-            order.author = author->value.id;
-            const status allowed =
-                config::authorise(*m_state.view(), author->value, order.what);
-            if (!is_ok(allowed))
-            {
-                return make_error(403, error_of(allowed));
-            }
+            reply.result = error_of(order);
+        }
+        m_hub->send(from.vm,
+                    wire::channel::control,
+                    wire::encode(wire::call_message(std::move(reply))));
+    }
+
+    net::awaitable<void> handle(http::exchange& caller)
+    {
+        http::response answer = answer_to(caller.received());
+        co_await caller.respond(std::move(answer));
+    }
+
+    http::response answer_to(const http::request& request)
+    {
+        if (request.target == "/healthz" || request.target == "/readyz")
+        {
+            return make_text("ok\n");
+        }
+        const config::force_summary force =
+            m_force.summary(monotonic_clock::now());
+        const config::api_request call{
+            request.method,
+            request.target,
+            std::string(request.headers.value_or_empty("Authorization")),
+            request.body};
+        auto handled = config::handle_operator(
+            call, {m_state.config(), force, unix_ms(), std::nullopt});
+        if (const auto* made = std::get_if<config::api_response>(&handled))
+        {
+            return to_http(*made);
         }
-        const config::command_result result = m_state.apply(++m_index, order);
-        const bool ok = std::holds_alternative<config::accepted>(result);
-        return make_json(ok ? 200 : 409, config::to_json(result));
+        const auto& order = std::get<config::command>(handled);
+        const std::string answer = m_state.apply(++m_index, make_entry(order));
+        std::vector<config::outgoing_message> out;
+        m_publisher.publish(served(), monotonic_clock::now(), out);
+        send(out);
+        const auto result = config::parse_result(boost::json::parse(answer));
+        return to_http(is_ok(result) ? config::response_to(value_of(result))
+                                     : config::response_to(error_of(result)));
     }
 
     net::io_context& m_context;
     control_settings m_settings;
-    config::state_machine m_state;
+    control_state m_state;
     std::uint64_t m_index = 0;
+    config::config_publisher m_publisher{config::distribution_settings{}};
+    config::force_table m_force{
+        config::distribution_settings{}.silence_timeout};
     std::shared_ptr<wire::link_hub> m_hub;
     std::unique_ptr<http::server> m_server;
 };
--- a/libs/pipeline/src/owner_service.hpp
+++ b/libs/pipeline/src/owner_service.hpp
@@ -78,7 +78,9 @@
     void
     open(const wire::link_identity& from, exchange_id id, open_message request);
     void cancel(const request_id& key);
-    void answer_query(const wire::link_identity& from, exchange_id id);
+    void answer_query(const wire::link_identity& from,
+                      exchange_id id,
+                      const query_message& query);
     void refuse_open(const exchange_ptr& exchange,
                      error reason,
                      duration retry_after);
--- a/libs/pipeline/src/request_ids.cpp
+++ b/libs/pipeline/src/request_ids.cpp
@@ -1,5 +1,7 @@
 #include "request_ids.hpp"
 
+#include <limpet/base/units.hpp>
+
 #include <array>
 #include <atomic>
 #include <chrono>
