Control replicas keep configuration and claims in the replicated log

Cause: the control process kept its state in memory. It now hosts a replica of the durable log; configuration and claims are applied from it, claims and operators' commands are answered by the leader.

--- a/libs/consensus/src/message_codec.cpp
+++ b/libs/consensus/src/message_codec.cpp
@@ -79,14 +79,14 @@
                                                   body.is_handover,
                                                   body.last.get(),
                                                   body.last_term.get());
-        return {fb::Body_VoteRequest, offset.Union()};
+        return {fb::Body::VoteRequest, offset.Union()};
     }
 
     encoded_body operator()(const vote_answer& body) const
     {
         const auto offset =
             fb::CreateVoteAnswer(out, body.is_trial, body.granted);
-        return {fb::Body_VoteAnswer, offset.Union()};
+        return {fb::Body::VoteAnswer, offset.Union()};
     }
 
     encoded_body operator()(const append_request& body) const
@@ -108,14 +108,14 @@
                                                     body.committed.get(),
                                                     body.round.get(),
                                                     vector);
-        return {fb::Body_AppendRequest, offset.Union()};
+        return {fb::Body::AppendRequest, offset.Union()};
     }
 
     encoded_body operator()(const append_answer& body) const
     {
         const auto offset = fb::CreateAppendAnswer(
             out, body.accepted, body.match.get(), body.round.get());
-        return {fb::Body_AppendAnswer, offset.Union()};
+        return {fb::Body::AppendAnswer, offset.Union()};
     }
 
     encoded_body operator()(const snapshot_chunk& body) const
@@ -130,25 +130,25 @@
                                                     body.total,
                                                     body.round.get(),
                                                     bytes);
-        return {fb::Body_SnapshotChunk, offset.Union()};
+        return {fb::Body::SnapshotChunk, offset.Union()};
     }
 
     encoded_body operator()(const snapshot_answer& body) const
     {
         const auto offset = fb::CreateSnapshotAnswer(
             out, body.index.get(), body.received, body.round.get());
-        return {fb::Body_SnapshotAnswer, offset.Union()};
+        return {fb::Body::SnapshotAnswer, offset.Union()};
     }
 
     encoded_body operator()(const handover_request&) const
     {
-        return {fb::Body_HandoverRequest,
+        return {fb::Body::HandoverRequest,
                 fb::CreateHandoverRequest(out).Union()};
     }
 
     encoded_body operator()(const join_request&) const
     {
-        return {fb::Body_JoinRequest, fb::CreateJoinRequest(out).Union()};
+        return {fb::Body::JoinRequest, fb::CreateJoinRequest(out).Union()};
     }
 };
 
@@ -226,22 +226,22 @@
 {
     switch (source.body_type())
     {
-    case fb::Body_VoteRequest:
+    case fb::Body::VoteRequest:
         return get_body(*source.body_as_VoteRequest());
-    case fb::Body_VoteAnswer:
+    case fb::Body::VoteAnswer:
         return vote_answer{source.body_as_VoteAnswer()->is_trial(),
                            source.body_as_VoteAnswer()->granted()};
-    case fb::Body_AppendRequest:
+    case fb::Body::AppendRequest:
         return to_body(get_body(*source.body_as_AppendRequest()));
-    case fb::Body_AppendAnswer:
+    case fb::Body::AppendAnswer:
         return get_body(*source.body_as_AppendAnswer());
-    case fb::Body_SnapshotChunk:
+    case fb::Body::SnapshotChunk:
         return get_body(*source.body_as_SnapshotChunk());
-    case fb::Body_SnapshotAnswer:
+    case fb::Body::SnapshotAnswer:
         return get_body(*source.body_as_SnapshotAnswer());
-    case fb::Body_HandoverRequest:
+    case fb::Body::HandoverRequest:
         return handover_request{};
-    case fb::Body_JoinRequest:
+    case fb::Body::JoinRequest:
         return join_request{};
     default:
         return std::nullopt;
--- a/libs/control/include/limpet/control/control_settings.hpp
+++ b/libs/control/include/limpet/control/control_settings.hpp
@@ -33,6 +33,9 @@
     boost::asio::ip::tcp::endpoint operators;
     /// Where the project's other processes reach the replica.
     boost::asio::ip::tcp::endpoint peers;
+    /// Name of the control group, equal on all its replicas. Routers refuse a
+    /// configuration of another group.
+    std::string group_name = "limpet";
     /// The other replicas of the group.
     std::vector<replica_peer> group;
     /// Folder for the log and snapshots.
--- /dev/null
+++ b/libs/control/src/claims_service.hpp
@@ -0,0 +1,34 @@
+/// \file
+/// Answers routers' claims of idempotency keys.
+
+#pragma once
+
+#include <limpet/replica/replica.hpp>
+#include <limpet/wire/call_message.hpp>
+#include <limpet/wire/link_hub.hpp>
+
+#include <memory>
+#include <string_view>
+
+namespace limpet::control
+{
+
+/// Puts claims commands into the replicated log and replies with what applying
+/// them answered. Not thread-safe.
+class claims_service
+{
+public:
+    /// The replica must outlive the service.
+    claims_service(replica::replica& log, std::shared_ptr<wire::link_hub> hub);
+
+    /// Takes a frame of the control channel.
+    void receive(const vm_id& from, std::string_view payload);
+
+private:
+    void reply(const vm_id& to, std::uint64_t id, outcome<std::string> result);
+
+    replica::replica& m_log;
+    std::shared_ptr<wire::link_hub> m_hub;
+};
+
+} // namespace limpet::control
--- /dev/null
+++ b/libs/control/src/config_source.hpp
@@ -0,0 +1,46 @@
+/// \file
+/// Gives routers the configuration and collects where it is in force.
+
+#pragma once
+
+#include "control_state.hpp"
+
+#include <limpet/config/config_publisher.hpp>
+#include <limpet/config/force_table.hpp>
+#include <limpet/wire/link_hub.hpp>
+
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace limpet::control
+{
+
+/// Serves the configuration that this replica has applied. Not thread-safe.
+class config_source
+{
+public:
+    /// The state must outlive the source.
+    config_source(const control_state& state,
+                  std::shared_ptr<wire::link_hub> hub);
+
+    /// Takes a frame of the config channel.
+    void receive(const vm_id& from, std::string_view payload, time_point now);
+
+    /// Sends followers what they lack. Call after each change.
+    void publish(time_point now);
+
+    /// Returns where the configuration is in force.
+    config::force_summary force(time_point now) const;
+
+private:
+    config::served_config served() const;
+    void send(std::vector<config::outgoing_message> messages);
+
+    const control_state& m_state;
+    std::shared_ptr<wire::link_hub> m_hub;
+    config::config_publisher m_publisher;
+    config::force_table m_force;
+};
+
+} // namespace limpet::control
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -1,20 +1,17 @@
+#include "claims_service.hpp"
+#include "config_source.hpp"
 #include "control_state.hpp"
+#include "operator_service.hpp"
+#include "wall_clock.hpp"
 
+#include <limpet/base/hash.hpp>
 #include <limpet/base/log.hpp>
-#include <limpet/config/config_publisher.hpp>
-#include <limpet/config/force_table.hpp>
-#include <limpet/config/operator_api.hpp>
-#include <limpet/config/state_machine.hpp>
 #include <limpet/control/control_server.hpp>
 #include <limpet/http/endpoint.hpp>
 #include <limpet/http/server.hpp>
-#include <limpet/wire/call_message.hpp>
+#include <limpet/replica/replica.hpp>
 #include <limpet/wire/link_hub.hpp>
 
-#include <boost/json.hpp>
-
-#include <chrono>
-
 namespace limpet::control
 {
 
@@ -23,89 +20,59 @@
 namespace
 {
 
-std::uint64_t unix_ms()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(now).count());
-}
-
-http::response to_http(const config::api_response& made)
-{
-    http::response answer;
-    answer.head.status = made.status;
-    answer.head.headers.set("Content-Type", "application/json");
-    answer.body = boost::json::serialize(made.body);
-    return answer;
-}
-
-http::response make_text(std::string text)
-{
-    http::response answer;
-    answer.head.headers.set("Content-Type", "text/plain");
-    answer.body = std::move(text);
-    return answer;
-}
-
 class running_server final : public control_server
 {
 public:
-    running_server(net::io_context& context, control_settings settings)
+    running_server(net::io_context& context,
+                   control_settings settings,
+                   std::function<void()> on_failed)
         : m_context(context),
           m_settings(std::move(settings)),
-          m_state(unix_ms())
+          m_on_failed(std::move(on_failed)),
+          m_state(stable_hash(m_settings.group_name))
     {
     }
 
     status start()
     {
-        wire::link_handlers handlers;
-        handlers.on_frame = [this](const wire::link_identity& from,
-                                   wire::channel kind,
-                                   std::string payload)
+        status opened = open_links();
+        if (!is_ok(opened))
         {
-            if (kind == wire::channel::config)
-            {
-                take_config(from, payload);
-            }
-            if (kind == wire::channel::control)
-            {
-                take_call(from, payload);
-            }
-        };
-        handlers.on_lost = [](const vm_id&) {};
-        auto hub = wire::link_hub::listen(m_context,
-                                          m_settings.peers,
-                                          {m_settings.vm,
-                                           m_settings.data_centre,
-                                           incarnation(unix_ms()),
-                                           http::to_string(m_settings.peers)},
-                                          {},
-                                          std::move(handlers));
-        if (!is_ok(hub))
+            return opened;
+        }
+        opened = open_replica();
+        if (!is_ok(opened))
         {
-            return error_of(hub);
+            return opened;
         }
-        m_hub = std::move(value_of(hub));
-        auto server = http::server::listen(m_context,
-                                           m_settings.operators,
-                                           {},
-                                           [this](http::exchange& caller)
-                                           {
-                                               return handle(caller);
-                                           });
-        if (!is_ok(server))
+        m_source = std::make_unique<config_source>(m_state, m_hub);
+        m_claims = std::make_unique<claims_service>(*m_replica, m_hub);
+        m_operators =
+            std::make_unique<operator_service>(m_state, *m_source, *m_replica);
+        opened = open_server();
+        if (!is_ok(opened))
         {
-            return error_of(server);
+            return opened;
         }
-        m_server = std::move(value_of(server));
+        m_replica->start();
+        log_event(
+            log_level::info,
+            "control.start",
+            {{"vm", m_settings.vm.get()},
+             {"operators", http::to_string(operators())},
+             {"revision", m_state.config().view()->where().number.get()}});
         return success();
     }
 
     void drain(std::function<void()> on_drained) override
     {
         m_server->stop_accepting();
-        net::post(m_context, std::move(on_drained));
+        m_draining = true;
+        m_replica->stop(
+            [call = std::move(on_drained)](status)
+            {
+                call();
+            });
     }
 
     void close() override
@@ -120,124 +87,165 @@
     }
 
 private:
-    void take_config(const wire::link_identity& from, std::string_view payload)
+    status open_links()
     {
-        const auto address = http::parse_endpoint(from.address);
-        const auto message = config::decode_distribution(payload);
-        if (!is_ok(message) || !is_ok(address))
+        wire::link_handlers handlers;
+        handlers.on_frame = [this](const wire::link_identity& from,
+                                   wire::channel kind,
+                                   std::string payload)
         {
-            log_event(
-                log_level::warn, "frame.malformed", {{"peer", from.vm.get()}});
-            return;
+            take_frame(from, kind, payload);
+        };
+        handlers.on_lost = [](const vm_id&) {};
+        const wire::link_identity self{m_settings.vm,
+                                       m_settings.data_centre,
+                                       incarnation(unix_ms()),
+                                       http::to_string(m_settings.peers)};
+        auto hub = wire::link_hub::listen(
+            m_context, m_settings.peers, self, {}, std::move(handlers));
+        if (!is_ok(hub))
+        {
+            return error_of(hub);
         }
-        m_hub->set_peer(from.vm, value_of(address));
-        const time_point now = monotonic_clock::now();
-        std::vector<config::outgoing_message> out;
-        if (const auto* sync =
-                std::get_if<config::sync_message>(&value_of(message)))
+        m_hub = std::move(value_of(hub));
+        for (const replica_peer& peer : m_settings.group)
         {
-            if (sync->report)
-            {
-                m_force.receive(from.vm, *sync->report, now);
-            }
-            m_publisher.receive(from.vm, *sync, served(), now, out);
+            m_hub->set_peer(peer.vm, peer.address);
+        }
+        return success();
+    }
+
+    status open_replica()
+    {
+        replica::replica_settings settings;
+        settings.self = m_settings.vm;
+        settings.group.push_back(m_settings.vm);
+        for (const replica_peer& peer : m_settings.group)
+        {
+            settings.group.push_back(peer.vm);
         }
-        else if (const auto* part =
-                     std::get_if<config::part_request>(&value_of(message)))
+        settings.folder = m_settings.data_folder;
+        auto opened = replica::replica::open(
+            m_context, std::move(settings), make_callbacks());
+        if (!is_ok(opened))
         {
-            m_publisher.receive(from.vm, *part, served(), now, out);
+            return error_of(opened);
         }
-        send(out);
+        m_replica = std::move(value_of(opened));
+        return success();
     }
 
-    config::served_config served() const
+    replica::replica_callbacks make_callbacks()
     {
-        return {m_state.config().view(), m_state.config().history()};
+        replica::replica_callbacks callbacks;
+        callbacks.apply =
+            [this](replica::log_index index, std::string_view entry)
+        {
+            std::string answer = m_state.apply(index.get(), entry);
+            publish();
+            return answer;
+        };
+        callbacks.save = [this]
+        {
+            return m_state.snapshot();
+        };
+        callbacks.restore = [this](std::string_view bytes)
+        {
+            restore(bytes);
+        };
+        callbacks.send =
+            [this](const vm_id& to, const std::vector<std::uint8_t>& bytes)
+        {
+            m_hub->send(to,
+                        wire::channel::consensus,
+                        std::string(bytes.begin(), bytes.end()));
+        };
+        callbacks.failed = [this](const error& reason)
+        {
+            fail(reason);
+        };
+        return callbacks;
     }
 
-    void send(const std::vector<config::outgoing_message>& messages)
+    status open_server()
     {
-        for (const config::outgoing_message& item : messages)
+        auto server =
+            http::server::listen(m_context,
+                                 m_settings.operators,
+                                 {},
+                                 [this](http::exchange& caller)
+                                 {
+                                     return m_operators->handle(caller);
+                                 });
+        if (!is_ok(server))
         {
-            m_hub->send(
-                item.to, wire::channel::config, config::encode(item.content));
+            return error_of(server);
         }
+        m_server = std::move(value_of(server));
+        return success();
     }
 
-    void take_call(const wire::link_identity& from, std::string_view payload)
+    void take_frame(const wire::link_identity& from,
+                    wire::channel kind,
+                    const std::string& payload)
     {
         const auto address = http::parse_endpoint(from.address);
-        const auto message = wire::decode_call_message(payload);
-        if (!is_ok(message) || !is_ok(address) ||
-            !std::holds_alternative<wire::call>(value_of(message)))
+        if (!m_operators || m_draining || !is_ok(address))
         {
-            log_event(
-                log_level::warn, "frame.malformed", {{"peer", from.vm.get()}});
             return;
         }
         m_hub->set_peer(from.vm, value_of(address));
-        const auto& call = std::get<wire::call>(value_of(message));
-        auto order = claims::decode_command(call.payload);
-        wire::reply reply{call.id, std::string(), m_settings.vm};
-        if (is_ok(order))
+        if (kind == wire::channel::consensus)
+        {
+            m_replica->receive(from.vm, {payload.begin(), payload.end()});
+        }
+        else if (kind == wire::channel::config)
         {
-            value_of(order).at_ms = unix_ms();
-            reply.result =
-                m_state.apply(++m_index, make_entry(value_of(order)));
+            m_source->receive(from.vm, payload, monotonic_clock::now());
         }
-        else
+        else if (kind == wire::channel::control)
         {
-            reply.result = error_of(order);
+            m_claims->receive(from.vm, payload);
         }
-        m_hub->send(from.vm,
-                    wire::channel::control,
-                    wire::encode(wire::call_message(std::move(reply))));
     }
 
-    net::awaitable<void> handle(http::exchange& caller)
+    void publish()
     {
-        http::response answer = answer_to(caller.received());
-        co_await caller.respond(std::move(answer));
+        if (m_source)
+        {
+            m_source->publish(monotonic_clock::now());
+        }
     }
 
-    http::response answer_to(const http::request& request)
+    void restore(std::string_view bytes)
     {
-        if (request.target == "/healthz" || request.target == "/readyz")
-        {
-            return make_text("ok\n");
-        }
-        const config::force_summary force =
-            m_force.summary(monotonic_clock::now());
-        const config::api_request call{
-            request.method,
-            request.target,
-            std::string(request.headers.value_or_empty("Authorization")),
-            request.body};
-        auto handled = config::handle_operator(
-            call, {m_state.config(), force, unix_ms(), std::nullopt});
-        if (const auto* made = std::get_if<config::api_response>(&handled))
+        const status restored = m_state.restore(bytes);
+        if (!is_ok(restored))
         {
-            return to_http(*made);
+            fail(error_of(restored));
+            return;
         }
-        const auto& order = std::get<config::command>(handled);
-        const std::string answer = m_state.apply(++m_index, make_entry(order));
-        std::vector<config::outgoing_message> out;
-        m_publisher.publish(served(), monotonic_clock::now(), out);
-        send(out);
-        const auto result = config::parse_result(boost::json::parse(answer));
-        return to_http(is_ok(result) ? config::response_to(value_of(result))
-                                     : config::response_to(error_of(result)));
+        publish();
+    }
+
+    void fail(const error& reason)
+    {
+        log_event(
+            log_level::error, "storage.failed", {{"reason", reason.message}});
+        m_on_failed();
     }
 
     net::io_context& m_context;
     control_settings m_settings;
+    std::function<void()> m_on_failed;
     control_state m_state;
-    std::uint64_t m_index = 0;
-    config::config_publisher m_publisher{config::distribution_settings{}};
-    config::force_table m_force{
-        config::distribution_settings{}.silence_timeout};
     std::shared_ptr<wire::link_hub> m_hub;
+    std::unique_ptr<replica::replica> m_replica;
+    std::unique_ptr<config_source> m_source;
+    std::unique_ptr<claims_service> m_claims;
+    std::unique_ptr<operator_service> m_operators;
     std::unique_ptr<http::server> m_server;
+    bool m_draining = false;
 };
 
 } // namespace
@@ -245,9 +253,10 @@
 outcome<std::unique_ptr<control_server>>
 control_server::create(net::io_context& context,
                        const control_settings& settings,
-                       std::function<void()>)
+                       std::function<void()> on_failed)
 {
-    auto made = std::make_unique<running_server>(context, settings);
+    auto made = std::make_unique<running_server>(
+        context, settings, std::move(on_failed));
     const status started = made->start();
     if (!is_ok(started))
     {
--- a/libs/control/src/control_settings.cpp
+++ b/libs/control/src/control_settings.cpp
@@ -64,6 +64,7 @@
     settings.data_centre = data_centre_id(reader.text("data_centre"));
     settings.operators = read_endpoint(reader, "operators");
     settings.peers = read_endpoint(reader, "peers");
+    settings.group_name = reader.text_or("group_name", settings.group_name);
     settings.group = read_group(reader);
     settings.data_folder = reader.text("data_folder");
     const auto level = parse_log_level(reader.text_or("log_level", "info"));
--- /dev/null
+++ b/libs/control/src/operator_service.hpp
@@ -0,0 +1,46 @@
+/// \file
+/// Operators' HTTP interface of a control replica.
+
+#pragma once
+
+#include "config_source.hpp"
+#include "control_state.hpp"
+
+#include <limpet/config/operator_api.hpp>
+#include <limpet/http/server.hpp>
+#include <limpet/replica/replica.hpp>
+
+namespace limpet::control
+{
+
+/// Answers operators at the leader; other replicas refuse with status 503 and
+/// name the leader. Not thread-safe.
+class operator_service
+{
+public:
+    /// The parts must outlive the service.
+    operator_service(const control_state& state,
+                     const config_source& source,
+                     replica::replica& log);
+
+    /// Answers one request.
+    boost::asio::awaitable<void> handle(http::exchange& caller);
+
+private:
+    boost::asio::awaitable<http::response>
+    answer_to(const http::request& request);
+    boost::asio::awaitable<http::response> submit(const config::command& order);
+    boost::asio::awaitable<http::response>
+    answer_group(const http::request& request);
+    boost::asio::awaitable<http::response>
+    change_group(const http::request& request);
+    http::response show_group() const;
+    http::response unavailable(const error& reason) const;
+    bool may_change_group(const http::request& request) const;
+
+    const control_state& m_state;
+    const config_source& m_source;
+    replica::replica& m_log;
+};
+
+} // namespace limpet::control
--- /dev/null
+++ b/libs/control/src/wall_clock.hpp
@@ -0,0 +1,14 @@
+/// \file
+/// The system's wall clock.
+
+#pragma once
+
+#include <cstdint>
+
+namespace limpet::control
+{
+
+/// Returns the milliseconds since 1970.
+std::uint64_t unix_ms();
+
+} // namespace limpet::control
