--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -47,8 +47,8 @@
         }
         m_source = std::make_unique<config_source>(m_state, m_hub);
         m_claims = std::make_unique<claims_service>(*m_replica, m_hub);
-        m_operators =
-            std::make_unique<operator_service>(m_state, *m_source, *m_replica);
+        m_operators = std::make_unique<operator_service>(
+            m_state, *m_source, *m_replica, *m_hub);
         opened = open_server();
         if (!is_ok(opened))
         {
--- a/libs/control/src/operator_service.cpp
+++ b/libs/control/src/operator_service.cpp
@@ -82,10 +82,12 @@
 
 operator_service::operator_service(const control_state& state,
                                    const config_source& source,
-                                   replica::replica& log)
+                                   replica::replica& log,
+                                   wire::link_hub& hub)
     : m_state(state),
       m_source(source),
-      m_log(log)
+      m_log(log),
+      m_hub(hub)
 {
 }
 
@@ -110,6 +112,10 @@
         answer.head.status = ready ? status_ok : status_unavailable;
         co_return answer;
     }
+    if (request.method == "POST" && request.target == "/v1/faults")
+    {
+        co_return set_fault(request);
+    }
     if (request.target.starts_with(group_path) || request.target == backup_path)
     {
         co_return co_await answer_group(request);
@@ -218,6 +224,18 @@
     co_return show_group();
 }
 
+http::response operator_service::set_fault(const http::request& request)
+{
+    const auto document = parse_json(request.body);
+    if (!is_ok(document))
+    {
+        return to_http(config::response_to(error_of(document)));
+    }
+    const status set = wire::set_fault(m_hub, value_of(document));
+    return is_ok(set) ? make_json(status_ok, boost::json::object{})
+                      : to_http(config::response_to(error_of(set)));
+}
+
 http::response operator_service::show_group() const
 {
     const replica::replica_view view = m_log.view();
--- a/libs/control/src/operator_service.hpp
+++ b/libs/control/src/operator_service.hpp
@@ -21,7 +21,8 @@
     /// The parts must outlive the service.
     operator_service(const control_state& state,
                      const config_source& source,
-                     replica::replica& log);
+                     replica::replica& log,
+                     wire::link_hub& hub);
 
     /// Answers one request.
     boost::asio::awaitable<void> handle(http::exchange& caller);
@@ -34,6 +35,7 @@
     answer_group(const http::request& request);
     boost::asio::awaitable<http::response>
     change_group(const http::request& request);
+    http::response set_fault(const http::request& request);
     http::response show_group() const;
     http::response unavailable(const error& reason) const;
     bool may_change_group(const http::request& request) const;
@@ -41,6 +43,7 @@
     const control_state& m_state;
     const config_source& m_source;
     replica::replica& m_log;
+    wire::link_hub& m_hub;
 };
 
 } // namespace limpet::control
--- a/libs/pipeline/src/backend_api.cpp
+++ b/libs/pipeline/src/backend_api.cpp
@@ -144,6 +144,10 @@
     {
         return take_cache_events(request);
     }
+    if (request.method == "POST" && target == "/v1/faults")
+    {
+        return set_fault(request);
+    }
     if (request.method == "GET" && target == "/metrics")
     {
         return show_metrics();
@@ -255,6 +259,17 @@
     return make_json(200, "{}");
 }
 
+http::response backend_api::set_fault(const http::request& request)
+{
+    const auto document = parse_json(request.body);
+    if (!is_ok(document))
+    {
+        return make_error(error_of(document));
+    }
+    const status set = wire::set_fault(*m_parts.hub, value_of(document));
+    return is_ok(set) ? make_json(200, "{}") : make_error(error_of(set));
+}
+
 http::response backend_api::show_metrics() const
 {
     return make_text(200,
--- a/libs/pipeline/src/backend_api.hpp
+++ b/libs/pipeline/src/backend_api.hpp
@@ -48,6 +48,7 @@
     http::response withdraw(const http::request& request);
     http::response take_report(const http::request& request);
     http::response take_cache_events(const http::request& request);
+    http::response set_fault(const http::request& request);
     http::response show_metrics() const;
     http::response show_status() const;
 
--- a/libs/pipeline/src/filters.cpp
+++ b/libs/pipeline/src/filters.cpp
@@ -20,6 +20,8 @@
 constexpr std::string_view bearer = "Bearer ";
 constexpr std::string_view chat_kind = "chat";
 constexpr std::size_t max_id_bytes = 200;
+/// Highest priority of a template; on the way to the engine 0 goes first.
+constexpr std::uint32_t highest_priority = 9;
 /// Bytes of text that make up one token on average.
 constexpr std::size_t bytes_per_token = 4;
 /// Time after which a team at its cap of open requests may try again.
@@ -120,7 +122,8 @@
 void take_parameters(request_context& context,
                      const config::team_parameters& parameters)
 {
-    context.priority = static_cast<std::uint8_t>(parameters.priority());
+    context.priority = static_cast<std::uint8_t>(
+        highest_priority - std::min(parameters.priority(), highest_priority));
     context.team_share = parameters.share();
     context.max_open_requests = parameters.max_open_requests();
     context.queue_time = parameters.queue_time();
--- a/libs/pipeline/src/owner_service.cpp
+++ b/libs/pipeline/src/owner_service.cpp
@@ -20,7 +20,6 @@
 
 /// Time after which a caller may try an engine again that was not owned here.
 constexpr duration not_owner_retry = milliseconds(100);
-constexpr std::uint8_t highest_priority = 9;
 constexpr double full_percent = 100.0;
 
 placement::engine_view make_engine_view(const membership::engine_record& from)
@@ -566,6 +565,7 @@
             http::parse_endpoint(engine->record.server.address);
         target.address =
             is_ok(address) ? value_of(address) : net::ip::tcp::endpoint();
+        target.checks_fencing = engine->record.server.checks_fencing;
         target.must_echo_request =
             engine->record.server.kind == membership::server_kind::engine;
     }
@@ -656,8 +656,7 @@
     made.item.id = exchange.key();
     made.item.partner = request.partner;
     made.item.team = request.team;
-    made.item.priority = static_cast<std::uint8_t>(
-        highest_priority - std::min(request.priority, highest_priority));
+    made.item.priority = request.priority;
     made.item.cost = token_count(std::max(1U, request.cost_tokens));
     made.item.deadline = now + std::min(request.deadline, request.queue_time);
     made.prompt = token_count(request.cost_tokens);
--- a/libs/pipeline/src/request_context.hpp
+++ b/libs/pipeline/src/request_context.hpp
@@ -81,6 +81,7 @@
     bool returning = false;
     std::optional<engine_id> placement_hint;
     bool repeatable = false;
+    /// 0 goes first.
     std::uint8_t priority = 0;
     std::uint32_t prompt_tokens = 0;
     duration queue_time{};
--- a/libs/pipeline/src/served_exchange.cpp
+++ b/libs/pipeline/src/served_exchange.cpp
@@ -29,6 +29,7 @@
     headers::host,
     headers::authorization};
 
+constexpr unsigned status_conflict = 409;
 constexpr unsigned status_too_many_requests = 429;
 constexpr unsigned status_bad_gateway = 502;
 constexpr unsigned status_gateway_timeout = 504;
@@ -111,6 +112,13 @@
     }
     m_answer =
         std::move(std::get<std::unique_ptr<http::response_stream>>(sent));
+    if (target.checks_fencing && m_answer->head().status == status_conflict)
+    {
+        finish_not_run(
+            {error_code::not_owner, "fencing number is old"}, {}, {});
+        m_answer.reset();
+        co_return served_result{0, false};
+    }
     const status checked = check_head(target, m_answer->head());
     if (!is_ok(checked))
     {
--- a/libs/pipeline/src/served_exchange.hpp
+++ b/libs/pipeline/src/served_exchange.hpp
@@ -26,6 +26,8 @@
 {
     boost::asio::ip::tcp::endpoint address;
     fencing_number fencing;
+    /// Whether the engine refuses a request with an old fencing number.
+    bool checks_fencing = false;
     /// Whether the answer must carry the request's id.
     bool must_echo_request = true;
 };
--- a/libs/wire/include/limpet/wire/link_hub.hpp
+++ b/libs/wire/include/limpet/wire/link_hub.hpp
@@ -11,11 +11,13 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/json/value.hpp>
 
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace limpet::wire
 {
@@ -55,6 +57,17 @@
     std::function<void(const vm_id& peer)> on_lost;
 };
 
+/// What a fault switch does to the links with a peer.
+enum class link_fault
+{
+    none,  ///< Links work.
+    cut,   ///< Frames are lost and the sender is told.
+    silent ///< Frames are lost and nobody is told.
+};
+
+/// Parses "none", "cut" or "silent".
+outcome<link_fault> parse_link_fault(std::string_view text);
+
 /// Sends frames to peers by VM and receives theirs. Each direction has its
 /// own connection, opened by the sender, and callers' data has another one
 /// than control traffic, so that it does not delay it. Frames of one channel
@@ -91,8 +104,16 @@
 
     virtual const traffic_counters& counters() const = 0;
 
+    /// Makes the links with the peer fail, in both directions, or work again.
+    /// Errors: invalid_argument in a build without LIMPET_FAULT_SWITCH.
+    virtual status set_fault(const vm_id& peer, link_fault fault) = 0;
+
     /// Ends all connections and stops listening.
     virtual void close() = 0;
 };
 
+/// Sets the fault that a test's document names, such as
+/// `{"peer": "router-1", "fault": "silent"}`. Errors: invalid_argument.
+status set_fault(link_hub& hub, const boost::json::value& document);
+
 } // namespace limpet::wire
--- a/libs/wire/src/link_hub.cpp
+++ b/libs/wire/src/link_hub.cpp
@@ -1,3 +1,4 @@
+#include "fault_switch.hpp"
 #include "hello.hpp"
 #include "incoming_link.hpp"
 #include "outgoing_link.hpp"
@@ -100,6 +101,12 @@
             deliver_to_self(kind, std::move(payload));
             return success();
         }
+        const link_fault fault = m_faults.find(peer);
+        if (fault != link_fault::none)
+        {
+            report_fault(peer, fault);
+            return success();
+        }
         std::shared_ptr<outgoing_link> link;
         {
             const std::lock_guard lock(m_mutex);
@@ -114,6 +121,11 @@
         return link->send(kind, payload);
     }
 
+    status set_fault(const vm_id& peer, link_fault fault) override
+    {
+        return m_faults.set(peer, fault);
+    }
+
     const traffic_counters& counters() const override
     {
         return m_counters;
@@ -169,7 +181,16 @@
     {
         set_link_options(socket, m_settings.silence_timeout);
         auto link = std::make_shared<incoming_link>(
-            std::move(socket), m_settings, m_counters, m_handlers.on_frame);
+            std::move(socket),
+            m_settings,
+            m_counters,
+            [this](const link_identity& from, channel kind, std::string payload)
+            {
+                if (m_faults.find(from.vm) == link_fault::none)
+                {
+                    m_handlers.on_frame(from, kind, std::move(payload));
+                }
+            });
         {
             const std::lock_guard lock(m_mutex);
             if (m_closed || m_incoming.size() >= m_settings.max_incoming)
@@ -189,6 +210,18 @@
             net::detached);
     }
 
+    void report_fault(const vm_id& peer, link_fault fault)
+    {
+        if (fault == link_fault::cut)
+        {
+            net::post(m_self_strand,
+                      [self = shared_from_this(), peer]
+                      {
+                          self->m_handlers.on_lost(peer);
+                      });
+        }
+    }
+
     void deliver_to_self(channel kind, std::string payload)
     {
         net::post(m_self_strand,
@@ -230,6 +263,7 @@
     link_handlers m_handlers;
     std::string m_hello_payload;
     traffic_counters m_counters;
+    fault_switch m_faults;
 
     std::mutex m_mutex;
     std::map<vm_id, peer_links> m_peers;
