Restore claims that were granted twice within a millisecond

A key released and granted again within one millisecond had two items of the same due time in a queue.

Queue items now carry the serial number of the entry that they belong to.

--- a/bench/suites/config/config_timing.cpp
+++ b/bench/suites/config/config_timing.cpp
@@ -68,8 +68,9 @@
     std::size_t copied = 0;
     for (std::size_t i = 0; i < copy_count; ++i)
     {
-        const plain_map copy = teams;
-        copied += copy.size();
+        plain_map copy = teams;
+        copy.erase(copy.begin());
+        copied += copy.size() + 1;
     }
     const double elapsed = seconds_since(start);
     figures.at_least("config_timing.plain_copy_entries",
@@ -87,7 +88,7 @@
     {
         keys.push_back(config::sha256(sample_key(i)));
     }
-    const config::view_ptr view = state.view();
+    const config::view_ptr& view = state.view();
     std::uint64_t shares = 0;
     const time_point start = monotonic_clock::now();
     for (std::size_t i = 0; i < lookup_count; ++i)
--- a/libs/claims/include/limpet/claims/claim_table.hpp
+++ b/libs/claims/include/limpet/claims/claim_table.hpp
@@ -97,8 +97,10 @@
     struct entry
     {
         std::uint64_t fingerprint = 0;
-        /// When the entry becomes unknown, if in progress, or is forgotten.
+        /// When the entry becomes unknown, if in progress, or is archived.
         std::uint64_t due_ms = 0;
+        /// Number of its valid item in a queue.
+        std::uint64_t serial = 0;
         /// The request's id, the media type and the body.
         std::string texts;
         std::uint16_t request_bytes = 0;
@@ -112,10 +114,11 @@
         void set_texts(std::string_view request, const settle& result);
     };
 
+    /// Item of a queue. It is void if the entry has another serial number.
     struct due
     {
-        std::uint64_t at_ms = 0;
         claim_key key;
+        std::uint64_t serial = 0;
     };
 
     claim_answer
@@ -129,7 +132,9 @@
     claim_answer grant(const claim_command& command, std::uint64_t fingerprint);
     void advance_clock(std::uint64_t at_ms);
     void expire(std::deque<due>& queue);
+    const entry* entry_of(const due& item) const;
     void pass_due(const claim_key& key);
+    void enqueue(const claim_key& key, entry& of, std::deque<due>& queue);
     void schedule(const claim_key& key, entry& of);
     void archive(const claim_key& key, const entry& of);
     void erase(const claim_key& key);
@@ -142,6 +147,7 @@
     std::uint64_t m_applied_index = 0;
     std::uint64_t m_clock_ms = 0;
     std::uint64_t m_used = 0;
+    std::uint64_t m_last_serial = 0;
     std::unordered_map<claim_key, entry> m_entries;
     outcome_archive m_archive;
     // Each queue has one period, so it is in the order of the due times.
--- a/libs/claims/src/claim_snapshot.cpp
+++ b/libs/claims/src/claim_snapshot.cpp
@@ -105,12 +105,12 @@
     flatbuffers::FlatBufferBuilder builder;
     for (const due& each : queue)
     {
-        const auto found = m_entries.find(each.key);
-        if (found == m_entries.end() || found->second.due_ms != each.at_ms)
+        const entry* valid = entry_of(each);
+        if (valid == nullptr)
         {
             continue;
         }
-        const entry& of = found->second;
+        const entry& of = *valid;
         builder.Clear();
         const std::string_view id = of.request();
         const auto request = builder.CreateString(id.data(), id.size());
@@ -199,12 +199,13 @@
     value.set_texts(read_text(from->request()), read_settle(from->result()));
     const claim_key key = read_key(*from->key());
     m_used += cost_of(value);
-    if (!m_entries.emplace(key, std::move(value)).second)
+    const auto [place, added] = m_entries.emplace(key, std::move(value));
+    if (!added)
     {
         return malformed;
     }
     const bool running = from->queue() == fb::Queue::running;
-    (running ? m_running : m_retained).push_back({from->due_ms(), key});
+    enqueue(key, place->second, running ? m_running : m_retained);
     return success();
 }
 
--- a/libs/claims/src/claim_table.cpp
+++ b/libs/claims/src/claim_table.cpp
@@ -228,19 +228,30 @@
 
 void claim_table::expire(std::deque<due>& queue)
 {
-    while (!queue.empty() && queue.front().at_ms <= m_clock_ms)
+    while (!queue.empty())
     {
         const due first = queue.front();
+        const entry* of = entry_of(first);
+        if (of != nullptr && of->due_ms > m_clock_ms)
+        {
+            return;
+        }
         queue.pop_front();
-        const auto found = m_entries.find(first.key);
-        // An entry that was scheduled anew since is due by a later item.
-        if (found != m_entries.end() && found->second.due_ms == first.at_ms)
+        if (of != nullptr)
         {
             pass_due(first.key);
         }
     }
 }
 
+const claim_table::entry* claim_table::entry_of(const due& item) const
+{
+    const auto found = m_entries.find(item.key);
+    const bool valid =
+        found != m_entries.end() && found->second.serial == item.serial;
+    return valid ? &found->second : nullptr;
+}
+
 void claim_table::pass_due(const claim_key& key)
 {
     entry& of = m_entries.at(key);
@@ -262,14 +273,16 @@
     const bool running = of.phase == state::in_progress;
     const milliseconds period =
         running ? m_limits.longest_run : m_limits.body_retention;
-    const std::uint64_t due_ms =
-        m_clock_ms + static_cast<std::uint64_t>(period.count());
-    if (of.due_ms == due_ms)
-    {
-        return;
-    }
-    of.due_ms = due_ms;
-    (running ? m_running : m_retained).push_back({of.due_ms, key});
+    of.due_ms = m_clock_ms + static_cast<std::uint64_t>(period.count());
+    enqueue(key, of, running ? m_running : m_retained);
+}
+
+void claim_table::enqueue(const claim_key& key,
+                          entry& of,
+                          std::deque<due>& queue)
+{
+    of.serial = ++m_last_serial;
+    queue.push_back({key, of.serial});
 }
 
 void claim_table::archive(const claim_key& key, const entry& of)
--- a/libs/config/test/config_fixture.hpp
+++ b/libs/config/test/config_fixture.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cstdlib>
 #include <string>
 
 namespace limpet::config
@@ -20,6 +21,14 @@
     return is_ok(result) ? std::string() : error_of(result).message;
 }
 
+/// Returns the number of seeds of a random test: the fallback, or more if the
+/// environment variable LIMPET_INTERLEAVINGS says so.
+inline std::uint64_t interleavings(std::uint64_t fallback)
+{
+    const char* text = std::getenv("LIMPET_INTERLEAVINGS");
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
 struct config_fixture
 {
     config_fixture()
