Say nothing is in force before all relays can have reported

A group restored from an old backup could take commands and issue numbers that routers had seen with other content.

The summary of reports says whether it is complete, and the operators' interface takes no commands while a router has a higher position.

--- a/libs/config/include/limpet/config/force_table.hpp
+++ b/libs/config/include/limpet/config/force_table.hpp
@@ -7,6 +7,7 @@
 #include <limpet/config/distribution_message.hpp>
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace limpet::config
@@ -27,6 +28,9 @@
 {
     /// Lowest revision in force over all data centres; 0 without a report.
     revision lowest;
+    /// Whether reports have come for so long that each live relay must have
+    /// sent one. False for a while after the start of a control replica.
+    bool complete = false;
     std::vector<data_centre_force> data_centres;
 };
 
@@ -58,6 +62,7 @@
     };
 
     duration m_silence_timeout;
+    std::optional<time_point> m_first_report;
     std::map<data_centre_id, entry> m_entries;
 };
 
--- a/libs/config/include/limpet/config/operator_api.hpp
+++ b/libs/config/include/limpet/config/operator_api.hpp
@@ -45,6 +45,11 @@
     /// Digest of the token that may create the first operator; without one,
     /// any token may.
     std::optional<sha256_digest> first_token;
+    /// Highest position that a router has in force, as heard by the
+    /// publisher. While it is above the state's own, commands are refused as
+    /// unavailable: either the log is not applied yet, or the group was
+    /// restored from a backup and needs a new generation.
+    std::optional<position> highest_heard;
 };
 
 /// Returns the answer, or a command that the caller commits and applies; the
--- a/libs/config/src/force_table.cpp
+++ b/libs/config/src/force_table.cpp
@@ -9,6 +9,7 @@
                           const force_report& report,
                           time_point now)
 {
+    m_first_report = m_first_report.value_or(now);
     m_entries[report.data_centre] = {report, relay, now};
 }
 
@@ -20,6 +21,7 @@
 force_summary force_table::summary(time_point now) const
 {
     force_summary out;
+    out.complete = m_first_report && *m_first_report + m_silence_timeout <= now;
     for (const auto& [id, each] : m_entries)
     {
         const bool first = out.data_centres.empty();
--- a/libs/config/src/operator_api.cpp
+++ b/libs/config/src/operator_api.cpp
@@ -182,6 +182,7 @@
         boost::json::object out;
         out["accepted"] = m_view.where().number.get();
         out["in_force"] = m_context.force.lowest.get();
+        out["complete"] = m_context.force.complete;
         out["data_centres"] = std::move(centres);
         return {200, std::move(out)};
     }
@@ -298,10 +299,34 @@
     const operator_account& m_who;
 };
 
+/// Returns why no command may be taken, or nothing.
+std::optional<error> check_not_behind(const api_context& context)
+{
+    const position own = context.state.view()->where();
+    const bool behind =
+        context.highest_heard &&
+        compare(*context.highest_heard, own) == position_order::newer;
+    if (!behind)
+    {
+        return std::nullopt;
+    }
+    return error{error_code::unavailable,
+                 "routers have revision " +
+                     std::to_string(context.highest_heard->number.get()) +
+                     " in force, but this replica only has " +
+                     std::to_string(own.number.get()) +
+                     "; if the group was restored from a backup, start a new "
+                     "generation"};
+}
+
 std::variant<api_response, command> take_command(const api_request& request,
                                                  const api_context& context,
                                                  const operator_account* who)
 {
+    if (const std::optional<error> behind = check_not_behind(context))
+    {
+        return response_to(*behind);
+    }
     const outcome<boost::json::value> document = parse_json(request.body);
     if (!is_ok(document))
     {
--- a/libs/config/test/distribution_test.cpp
+++ b/libs/config/test/distribution_test.cpp
@@ -77,8 +77,11 @@
     {
         const force_summary summary = fleet->summary_at(i);
         BOOST_TEST((summary.lowest == number));
+        BOOST_TEST(!summary.complete);
         BOOST_TEST(summary.data_centres.size() == 4U);
     }
+    fleet->run(seconds(12));
+    BOOST_TEST(fleet->summary_at(0).complete);
 }
 
 BOOST_AUTO_TEST_CASE(router_without_configuration_serves_nothing)
--- a/libs/config/test/operator_api_test.cpp
+++ b/libs/config/test/operator_api_test.cpp
@@ -24,6 +24,7 @@
 
     force_summary force{
         revision(3),
+        true,
         {{{data_centre_id("dc1"), revision(3), 2, {vm_id("r1")}},
           vm_id("r2"),
           true}}};
@@ -102,6 +103,19 @@
     BOOST_TEST(std::holds_alternative<api_response>(submit_with("other")));
 }
 
+BOOST_AUTO_TEST_CASE(group_behind_its_routers_takes_no_command)
+{
+    position ahead = machine.view()->where();
+    for (const unsigned status : {400U, 503U})
+    {
+        const auto answer =
+            handle_operator({"POST", "/v1/commands", "Bearer root-token", "{}"},
+                            {machine, force, 5, {}, ahead});
+        BOOST_TEST(std::get<api_response>(answer).status == status);
+        ahead.number = revision(ahead.number.get() + 1);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(team_shows_its_parameters_in_force)
 {
     const auto body = get("/v1/objects/team/team-bureau", "root-token").body;
--- a/tools/limpetctl/session.cpp
+++ b/tools/limpetctl/session.cpp
@@ -212,8 +212,8 @@
         }
         const boost::json::value& body = value_of(received).body;
         const auto late = laggards(body, revision);
-        const bool heard = !body.at("data_centres").as_array().empty();
-        if (heard && late.empty())
+        const bool complete = body.at("complete").as_bool();
+        if (complete && late.empty())
         {
             std::cout << "revision " << revision << " is in force in all "
                       << body.at("data_centres").as_array().size()
@@ -226,9 +226,11 @@
             {
                 std::cerr << "limpetctl: lagging: " << each << "\n";
             }
+            const std::string text = "revision " + std::to_string(revision) +
+                                     " is accepted, but not ";
             return fail(exit_code::not_in_force,
-                        "revision " + std::to_string(revision) +
-                            " is accepted, but not in force everywhere");
+                        text + (complete ? "in force everywhere"
+                                         : "all routers have reported yet"));
         }
         std::this_thread::sleep_for(poll_period);
     }
