Let the first operator be applied as an object, and lint

limpetctl reads an object before it changes it, which an empty system refused for want of an operator. It now answers that there is none.

--- a/libs/claims/include/limpet/claims/claim_key.hpp
+++ b/libs/claims/include/limpet/claims/claim_key.hpp
@@ -19,6 +19,8 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
+    // The check mistakes the rewritten comparisons with 0 for null pointers.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const claim_key&, const claim_key&) = default;
 };
 
--- a/libs/config/include/limpet/config/config_publisher.hpp
+++ b/libs/config/include/limpet/config/config_publisher.hpp
@@ -43,7 +43,7 @@
     duration report_timeout = seconds(12);
     /// Time after which a lost part of a snapshot is asked for again.
     duration part_timeout = seconds(2);
-    std::size_t part_bytes = 256 * 1024;
+    std::size_t part_bytes = std::size_t{256} * 1024;
     /// Changes that a router keeps for its peers.
     std::size_t max_updates = 1024;
     /// Changes in one message.
--- a/libs/config/include/limpet/config/sha256.hpp
+++ b/libs/config/include/limpet/config/sha256.hpp
@@ -23,6 +23,8 @@
     /// Returns the digest's bytes as text for hashing and comparison.
     std::string_view view() const noexcept;
 
+    // The check mistakes the rewritten comparisons with 0 for null pointers.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const sha256_digest&,
                             const sha256_digest&) = default;
 };
--- a/libs/config/src/operator_api.cpp
+++ b/libs/config/src/operator_api.cpp
@@ -406,7 +406,8 @@
     }
     if (who == nullptr)
     {
-        return response_to(unauthenticated());
+        return response_to(error{error_code::not_found,
+                                 "there is no operator yet; create the first"});
     }
     if (request.method == "GET")
     {
--- a/libs/config/test/operator_api_test.cpp
+++ b/libs/config/test/operator_api_test.cpp
@@ -101,6 +101,10 @@
     };
     BOOST_TEST(std::holds_alternative<command>(submit_with("first")));
     BOOST_TEST(std::holds_alternative<api_response>(submit_with("other")));
+    const auto read = handle_operator(
+        {"GET", "/v1/objects/operator/root", "Bearer first", ""},
+        {empty, force, 5, sha256("first")});
+    BOOST_TEST(std::get<api_response>(read).status == 404U);
 }
 
 BOOST_AUTO_TEST_CASE(group_behind_its_routers_takes_no_command)
