--- a/libs/claims/test/claim_table_test.cpp
+++ b/libs/claims/test/claim_table_test.cpp
@@ -25,8 +25,8 @@
     claim_answer
     send(const std::string& request, claim_action action, std::uint64_t key = 1)
     {
-        return table.apply(++index,
-                           {{key, key}, request_id(request), now, action});
+        return table.apply(
+            ++index, {{key, key}, request_id(request), now, std::move(action)});
     }
 
     claim_limits limits{milliseconds(1000),
--- a/tools/limpetctl/read_commands.cpp
+++ b/tools/limpetctl/read_commands.cpp
@@ -38,6 +38,7 @@
     for (const boost::json::value& each : list.as_array())
     {
         std::vector<std::string> row;
+        row.reserve(fields.size());
         for (const std::string& field : fields)
         {
             row.push_back(cell(each, field));
