--- a/libs/membership/include/limpet/membership/settings.hpp
+++ b/libs/membership/include/limpet/membership/settings.hpp
@@ -33,9 +33,9 @@
     /// Time for which a grant by another router of the data centre holds.
     duration ownership_lease = milliseconds(10000);
     /// Time after which an engine that does not renew is removed.
-    duration engine_lease = milliseconds(30000);
+    duration engine_lease = milliseconds(45000);
     /// Renewal period that is told to engines.
-    duration engine_renewal = milliseconds(10000);
+    duration engine_renewal = milliseconds(15000);
     /// Time for which removed routers and engines are remembered.
     duration retention = seconds(600);
     /// Shortest time from joining to owning engines; doubles with each recent
--- a/libs/membership/include/limpet/membership/view.hpp
+++ b/libs/membership/include/limpet/membership/view.hpp
@@ -28,7 +28,7 @@
 class view
 {
 public:
-    /// Builds a snapshot and computes all owners.
+    /// Builds a snapshot and computes all owners. Copies no engine.
     view(std::uint64_t version,
          std::vector<router_record> routers,
          std::vector<engine_ptr> engines);
@@ -45,7 +45,8 @@
         return m_routers;
     }
 
-    /// Returns all engines that are not gone, ordered by id.
+    /// Returns all engines that are not gone, in an order that is the same at
+    /// every router.
     const std::vector<engine_entry>& engines() const noexcept
     {
         return m_engines;
@@ -70,7 +71,8 @@
     std::uint64_t m_version;
     std::vector<router_record> m_routers;
     std::vector<engine_entry> m_engines;
-    std::unordered_map<engine_id, std::uint32_t> m_engine_index;
+    /// Hashes of the engines' ids, in the order of the engines.
+    std::vector<std::uint64_t> m_keys;
     std::unordered_map<model_id, std::vector<std::uint32_t>> m_models;
 };
 
--- a/libs/membership/src/digest_tree.cpp
+++ b/libs/membership/src/digest_tree.cpp
@@ -8,7 +8,6 @@
 namespace
 {
 
-constexpr std::size_t fan_out = 2;
 constexpr auto report_wait = milliseconds(100);
 /// Sums older than this are not counted any more.
 constexpr auto max_report_age = seconds(2);
@@ -34,15 +33,37 @@
         std::clamp<std::int64_t>(count, 0, UINT16_MAX));
 }
 
+/// Only the gateway needs the contacts.
+region_sums without_contacts(region_sums input)
+{
+    input.contacts.clear();
+    return input;
+}
+
+/// The root has one child, as it also exchanges sums with other roots; all
+/// others have two.
+std::size_t first_child_of(std::size_t index)
+{
+    return index == 0 ? 1 : 2 * index;
+}
+
+std::size_t parent_of(std::size_t index)
+{
+    return index / 2;
+}
+
 /// The routers of each data centre in the order of the tree's places.
 using trees = std::map<data_centre_id, std::vector<key>>;
 
-trees arrange(const view& current)
+trees arrange(const region_state& state)
 {
     trees result;
-    for (const auto& router : current.routers())
+    for (const auto& [name, entry] : state.routers())
     {
-        result[router.self.data_centre].push_back(key_of(router.self.vm));
+        if (entry.record.is_member())
+        {
+            result[entry.record.self.data_centre].push_back(name);
+        }
     }
     for (auto& [data_centre, names] : result)
     {
@@ -81,13 +102,13 @@
 
 void digest_tree::find_place()
 {
-    if (m_place.version == m_state.version())
+    if (m_place.version == m_state.routers_version())
     {
         return;
     }
     m_place = {};
-    m_place.version = m_state.version();
-    const auto all = arrange(*m_state.snapshot());
+    m_place.version = m_state.routers_version();
+    const auto all = arrange(m_state);
     const auto own = all.find(m_state.self().self.data_centre);
     if (own == all.end())
     {
@@ -101,20 +122,18 @@
     }
     const auto index = static_cast<std::size_t>(found - names.begin());
     m_place.is_root = index == 0;
-    m_place.parent = index == 0 ? 0 : names[(index - 1) / fan_out];
-    for (auto child = fan_out * index + 1;
-         child <= fan_out * (index + 1) && child < names.size();
+    m_place.parent = index == 0 ? 0 : names[parent_of(index)];
+    for (auto child = first_child_of(index);
+         child < first_child_of(index + 1) && child < names.size();
          ++child)
     {
         m_place.children.push_back(names[child]);
     }
-    m_place.gateway = all.begin()->second.front();
+    // The last place of a tree has the least to do.
+    m_place.gateway = all.begin()->second.back();
     for (const auto& [data_centre, others] : all)
     {
-        if (m_place.is_root && data_centre != own->first)
-        {
-            m_place.other_roots.push_back(others.front());
-        }
+        m_place.roots.push_back(others.front());
     }
 }
 
@@ -234,9 +253,12 @@
         send(m_place.parent, report{m_round, std::move(sums)});
         return;
     }
-    for (const auto root : m_place.other_roots)
+    for (const auto root : m_place.roots)
     {
-        send(root, data_centre_sums{sums});
+        if (root != m_state.self_key())
+        {
+            send(root, data_centre_sums{sums});
+        }
     }
     const auto home = stable_hash(m_state.self().self.data_centre.get());
     m_data_centres[home] = {std::move(sums), now};
@@ -383,29 +405,36 @@
     auto& other = m_others[input.region];
     other.sums = timed_sums{input.sums, now};
     keep_contacts(other, input);
-    auto relayed = input;
-    relayed.relayed = true;
     const bool is_gateway = m_place.gateway == m_state.self_key();
     if (!is_gateway && !input.relayed)
     {
-        send(m_place.gateway, relayed);
-        return;
-    }
-    const bool from_above = from == m_place.gateway || from == m_place.parent;
-    if (!is_gateway && !from_above)
-    {
+        relay(m_place.gateway, input);
         return;
     }
     if (is_gateway)
     {
-        for (const auto root : m_place.other_roots)
+        for (const auto root : m_place.roots)
         {
-            send(root, relayed);
+            relay(root, without_contacts(input));
         }
     }
+    const bool from_above = from == m_place.gateway || from == m_place.parent;
+    if (!from_above && !(is_gateway && m_place.is_root))
+    {
+        return;
+    }
     for (const auto child : m_place.children)
     {
-        send(child, relayed);
+        relay(child, without_contacts(input));
+    }
+}
+
+void digest_tree::relay(key to, region_sums content)
+{
+    if (to != m_state.self_key())
+    {
+        content.relayed = true;
+        send(to, content);
     }
 }
 
--- a/libs/membership/src/digest_tree.hpp
+++ b/libs/membership/src/digest_tree.hpp
@@ -17,7 +17,8 @@
 /// a round with a message that carries the region's sums down and is answered
 /// by reports on the way up; roots of one region then exchange the sums of
 /// their data centres. So sums are as old as one period and a few message
-/// times. One root of each region exchanges sums with other regions.
+/// times. One router
+/// of each region, the gateway, exchanges sums with other regions.
 class digest_tree
 {
 public:
@@ -64,8 +65,8 @@
         std::uint64_t version = 0;
         key parent = 0;
         std::vector<key> children;
-        /// Roots of the region's other data centres, if this is a root.
-        std::vector<key> other_roots;
+        /// Roots of the region's data centres.
+        std::vector<key> roots;
         key gateway = 0;
         bool is_root = false;
     };
@@ -78,6 +79,7 @@
     void sum_region(time_point now);
     void send(key to, const body& content);
     void exchange_regions(time_point now);
+    void relay(key to, region_sums content);
     void keep_contacts(other_region& region, const region_sums& input);
     std::vector<router_record> own_contacts() const;
 
--- a/libs/membership/src/engine_registry.cpp
+++ b/libs/membership/src/engine_registry.cpp
@@ -69,7 +69,6 @@
     }
     const auto& record = value_of(judged);
     const bool changed = m_state.merge(record, now);
-    m_owned.refresh(now);
     renew(*record, changed, now);
     const auto& values = m_state.values();
     announce_result result{values.engine_renewal, values.engine_lease, {}};
--- a/libs/membership/src/node.cpp
+++ b/libs/membership/src/node.cpp
@@ -58,7 +58,7 @@
     bool is_current(const message& input) const;
     void refuse_unknown(const message& input);
     void report_superseded();
-    actions finish(time_point now);
+    actions finish();
 
     void handle(const message& input, const join& content, time_point now);
     void handle(const message& input, const welcome& content, time_point now);
@@ -164,7 +164,7 @@
         return;
     }
     const auto since = joined_at.value_or(began);
-    const bool alone = state.snapshot()->routers().size() <= 1;
+    const bool alone = state.member_count() <= 1;
     if (!alone && !lists.in_sync() && now - since < max_sync_wait)
     {
         return;
@@ -385,7 +385,6 @@
 
 void node::impl::handle(const message&, const renewals& content, time_point now)
 {
-    owned.refresh(now);
     for (const auto& item : content.items)
     {
         owned.on_renewal(item, now);
@@ -396,7 +395,6 @@
                         const hand_over& content,
                         time_point now)
 {
-    owned.refresh(now);
     owned.on_hand_over(input.from, content, now);
 }
 
@@ -440,9 +438,8 @@
     }
 }
 
-actions node::impl::finish(time_point now)
+actions node::impl::finish()
 {
-    owned.refresh(now);
     report_superseded();
     return out.take();
 }
@@ -465,7 +462,7 @@
 actions node::tick(time_point now)
 {
     m_impl->tick(now);
-    return m_impl->finish(now);
+    return m_impl->finish();
 }
 
 actions node::receive(std::string_view bytes, time_point now)
@@ -475,7 +472,7 @@
     {
         m_impl->receive(value_of(decoded), now);
     }
-    return m_impl->finish(now);
+    return m_impl->finish();
 }
 
 outcome<announce_result> node::announce(const announcement& server,
@@ -487,7 +484,7 @@
 actions node::leave(time_point now)
 {
     m_impl->leave(now);
-    return m_impl->finish(now);
+    return m_impl->finish();
 }
 
 void node::set_load(const engine_id& engine, const engine_load& load)
--- a/libs/membership/src/quorum.cpp
+++ b/libs/membership/src/quorum.cpp
@@ -9,14 +9,15 @@
 {
     auto& last = m_grants[voter];
     last = std::max(last, probe_sent);
+    m_lease_version = 0;
 }
 
 const std::vector<key>& quorum::voters() const
 {
-    if (m_voters_version != m_state.version())
+    if (m_voters_version != m_state.routers_version())
     {
         refresh();
-        m_voters_version = m_state.version();
+        m_voters_version = m_state.routers_version();
     }
     return m_voters;
 }
@@ -78,6 +79,16 @@
 }
 
 time_point quorum::lease_until() const
+{
+    if (m_lease_version != m_state.routers_version())
+    {
+        m_lease_until = compute_lease();
+        m_lease_version = m_state.routers_version();
+    }
+    return m_lease_until;
+}
+
+time_point quorum::compute_lease() const
 {
     if (is_decided_by_self())
     {
--- a/libs/membership/src/quorum.hpp
+++ b/libs/membership/src/quorum.hpp
@@ -39,12 +39,15 @@
 
 private:
     void refresh() const;
+    time_point compute_lease() const;
     bool is_decided_by_self() const;
 
     const region_state& m_state;
     std::map<key, time_point> m_grants;
     mutable std::vector<key> m_voters;
     mutable std::uint64_t m_voters_version = 0;
+    mutable std::uint64_t m_lease_version = 0;
+    mutable time_point m_lease_until;
 };
 
 } // namespace limpet::membership
--- a/libs/membership/src/region_state.cpp
+++ b/libs/membership/src/region_state.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint64_t max_clock = std::uint64_t{1} << 48U;
 
 constexpr std::uint32_t max_flaps = 20;
+/// Transmissions of a change beyond the logarithm of the members.
+constexpr std::uint32_t spare_sends = 2;
 
 router_record first_record(peer self, incarnation started)
 {
@@ -90,7 +92,7 @@
     if (claimed.started > self().started)
     {
         m_superseded_by = claimed.started;
-        touch();
+        touch_routers();
         return true;
     }
     if (claimed.started < self().started || !active() ||
@@ -228,7 +230,7 @@
     entry.changed_at = now;
     m_forgotten.erase(name);
     queue(subject::router, name, whole);
-    touch();
+    touch_routers();
 }
 
 void region_state::store(key name, engine_ptr record, time_point now)
@@ -258,10 +260,27 @@
         return;
     }
     const auto members = static_cast<std::uint32_t>(m_routers.size());
-    const auto sends = 2 * static_cast<std::uint32_t>(std::bit_width(members));
+    const auto sends =
+        spare_sends + static_cast<std::uint32_t>(std::bit_width(members));
     m_queue.add(about, name, sends, whole);
 }
 
+void region_state::touch_routers() noexcept
+{
+    ++m_routers_version;
+    touch();
+}
+
+std::size_t region_state::member_count() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_routers,
+                              [](const auto& item)
+                              {
+                                  return item.second.record.is_member();
+                              }));
+}
+
 void region_state::touch() noexcept
 {
     ++m_version;
@@ -307,7 +326,7 @@
         i->second.changed_at = now;
         m_forgotten[i->first] = i->second;
         i = m_routers.erase(i);
-        touch();
+        touch_routers();
     }
 }
 
--- a/libs/membership/src/region_state.hpp
+++ b/libs/membership/src/region_state.hpp
@@ -136,6 +136,15 @@
         return m_version;
     }
 
+    /// Returns a number that rises with each change of a router.
+    std::uint64_t routers_version() const noexcept
+    {
+        return m_routers_version;
+    }
+
+    /// Returns the number of member routers, this one included.
+    std::size_t member_count() const;
+
     /// Logical clock that all messages carry.
     std::uint64_t clock() const noexcept
     {
@@ -156,6 +165,7 @@
     void store(key name, engine_ptr record, time_point now);
     void queue(subject about, key name, bool whole);
     void touch() noexcept;
+    void touch_routers() noexcept;
     bool is_forgotten(key name, incarnation started) const;
 
     settings m_settings;
@@ -170,6 +180,7 @@
     bool m_passes_on = true;
     std::optional<incarnation> m_superseded_by;
     std::uint64_t m_version = 1;
+    std::uint64_t m_routers_version = 1;
     std::uint64_t m_clock = 0;
     std::shared_ptr<const view> m_snapshot;
 };
--- a/libs/membership/src/synchroniser.cpp
+++ b/libs/membership/src/synchroniser.cpp
@@ -71,7 +71,7 @@
     }
     m_next_sync =
         now + (m_hurried ? hurried_period : m_state.values().sync_period);
-    const auto own = compute();
+    const auto& own = own_hashes();
     for (const auto& to : random_members(1))
     {
         m_out.send(
@@ -139,6 +139,16 @@
     return chosen;
 }
 
+const synchroniser::hashes& synchroniser::own_hashes()
+{
+    if (m_hashes_version != m_state.version())
+    {
+        m_hashes = compute();
+        m_hashes_version = m_state.version();
+    }
+    return m_hashes;
+}
+
 synchroniser::hashes synchroniser::compute() const
 {
     hashes result{};
@@ -191,7 +201,7 @@
     {
         return;
     }
-    const auto own = compute();
+    const auto& own = own_hashes();
     // Begins at a random bucket so that one that stays different, as records
     // expire at different times, never hides the others.
     const auto first = m_state.random().below(bucket_count);
--- a/libs/membership/src/synchroniser.hpp
+++ b/libs/membership/src/synchroniser.hpp
@@ -41,6 +41,7 @@
     static constexpr std::size_t bucket_count = 64;
     using hashes = std::array<std::uint32_t, bucket_count>;
 
+    const hashes& own_hashes();
     hashes compute() const;
     updates records_of(const std::vector<std::uint8_t>& buckets) const;
     std::vector<peer> random_members(std::size_t count);
@@ -54,6 +55,8 @@
     double m_allowance = 0;
     bool m_in_sync = false;
     bool m_hurried = false;
+    hashes m_hashes{};
+    std::uint64_t m_hashes_version = 0;
 };
 
 } // namespace limpet::membership
--- a/libs/membership/src/update_queue.cpp
+++ b/libs/membership/src/update_queue.cpp
@@ -1,32 +1,42 @@
 #include "update_queue.hpp"
 
-#include <algorithm>
-
 namespace limpet::membership
 {
 
-void update_queue::add(subject about, key id, std::uint32_t sends, bool whole)
+namespace
 {
-    auto& one = m_entries[{about, id}];
+
+constexpr std::size_t max_entries = 32;
+
+} // namespace
+
+void update_queue::add(subject about, key name, std::uint32_t sends, bool whole)
+{
+    const id which{about, name};
+    auto& one = m_entries[which];
+    m_order.erase({one.sends_left, which});
     one.sends_left = sends;
     one.whole = one.whole || whole;
+    m_order.insert({one.sends_left, which});
+    if (m_entries.size() > max_entries)
+    {
+        // Comparing the lists makes up for changes that are dropped here.
+        m_entries.erase(m_order.rbegin()->second);
+        m_order.erase(std::prev(m_order.end()));
+    }
 }
 
-std::vector<update_queue::name> update_queue::by_sends_left() const
+void update_queue::count_sent(const id& which, std::uint32_t copies)
 {
-    std::vector<name> names;
-    names.reserve(m_entries.size());
-    for (const auto& [id, one] : m_entries)
+    auto& one = m_entries.at(which);
+    m_order.erase({one.sends_left, which});
+    if (one.sends_left <= copies)
     {
-        names.push_back(id);
+        m_entries.erase(which);
+        return;
     }
-    std::ranges::stable_sort(names,
-                             std::greater<>(),
-                             [this](const name& one)
-                             {
-                                 return m_entries.at(one).sends_left;
-                             });
-    return names;
+    one.sends_left -= copies;
+    m_order.insert({one.sends_left, which});
 }
 
 } // namespace limpet::membership
--- a/libs/membership/src/update_queue.hpp
+++ b/libs/membership/src/update_queue.hpp
@@ -5,8 +5,11 @@
 
 #include "message.hpp"
 
+#include <functional>
 #include <map>
+#include <set>
 #include <utility>
+#include <vector>
 
 namespace limpet::membership
 {
@@ -32,7 +35,7 @@
     };
 
     /// Queues a change for the given number of transmissions.
-    void add(subject about, key id, std::uint32_t sends, bool whole);
+    void add(subject about, key name, std::uint32_t sends, bool whole);
 
     bool empty() const noexcept
     {
@@ -49,28 +52,30 @@
     template <class Visit>
     void send(std::uint32_t copies, Visit visit)
     {
-        for (const auto& id : by_sends_left())
+        std::vector<id> sent;
+        for (const auto& [sends_left, one] : m_order)
         {
-            auto& one = m_entries.at(id);
-            if (!visit(id.first, id.second, one.whole))
+            if (!visit(one.first, one.second, m_entries.at(one).whole))
             {
-                return;
+                break;
             }
-            if (one.sends_left <= copies)
-            {
-                m_entries.erase(id);
-                continue;
-            }
-            one.sends_left -= copies;
+            sent.push_back(one);
+        }
+        for (const auto& one : sent)
+        {
+            count_sent(one, copies);
         }
     }
 
 private:
-    using name = std::pair<subject, key>;
+    using id = std::pair<subject, key>;
+    using rank = std::pair<std::uint32_t, id>;
 
-    std::vector<name> by_sends_left() const;
+    void count_sent(const id& one, std::uint32_t copies);
 
-    std::map<name, entry> m_entries;
+    std::map<id, entry> m_entries;
+    /// The changes with the most transmissions left first.
+    std::set<rank, std::greater<>> m_order;
 };
 
 } // namespace limpet::membership
--- a/libs/membership/src/view.cpp
+++ b/libs/membership/src/view.cpp
@@ -54,14 +54,13 @@
     candidates m_all_unready;
 };
 
-std::uint32_t choose(const candidates& from, const engine_id& engine)
+std::uint32_t choose(const candidates& from, std::uint64_t engine)
 {
-    const auto key = stable_hash(engine.get());
     auto owner = engine_entry::no_router;
     std::uint64_t highest = 0;
     for (const auto& one : from)
     {
-        const auto score = combine_hashes(key, one.key);
+        const auto score = combine_hashes(engine, one.key);
         if (owner == engine_entry::no_router || score > highest)
         {
             owner = one.index;
@@ -85,17 +84,20 @@
                       {
                           return router.self.vm;
                       });
-    std::ranges::sort(engines,
-                      {},
-                      [](const auto& engine)
-                      {
-                          return engine->server.engine;
-                      });
+    const auto key_of = [](const engine_ptr& engine)
+    {
+        return stable_hash(engine->server.engine.get());
+    };
+    if (!std::ranges::is_sorted(engines, {}, key_of))
+    {
+        std::ranges::sort(engines, {}, key_of);
+    }
     m_engines.reserve(engines.size());
+    m_keys.reserve(engines.size());
     for (auto& engine : engines)
     {
         const auto index = static_cast<std::uint32_t>(m_engines.size());
-        m_engine_index.emplace(engine->server.engine, index);
+        m_keys.push_back(key_of(engine));
         for (const auto& model : engine->server.models)
         {
             m_models[model].push_back(index);
@@ -108,10 +110,10 @@
 void view::assign_owners()
 {
     const candidate_sets sets(m_routers);
-    for (auto& entry : m_engines)
+    for (std::size_t i = 0; i < m_engines.size(); ++i)
     {
-        const auto& server = entry.engine->server;
-        entry.owner = choose(sets.of(server.data_centre), server.engine);
+        const auto& home = m_engines[i].engine->server.data_centre;
+        m_engines[i].owner = choose(sets.of(home), m_keys[i]);
     }
 }
 
@@ -130,8 +132,15 @@
 
 const engine_entry* view::find_engine(const engine_id& engine) const
 {
-    const auto found = m_engine_index.find(engine);
-    return found == m_engine_index.end() ? nullptr : &m_engines[found->second];
+    const auto found =
+        std::ranges::lower_bound(m_keys, stable_hash(engine.get()));
+    if (found == m_keys.end())
+    {
+        return nullptr;
+    }
+    const auto& entry =
+        m_engines[static_cast<std::size_t>(found - m_keys.begin())];
+    return entry.engine->server.engine == engine ? &entry : nullptr;
 }
 
 const std::vector<std::uint32_t>& view::engines_of(const model_id& model) const
