--- a/libs/pipeline/include/limpet/pipeline/exchange_message.hpp
+++ b/libs/pipeline/include/limpet/pipeline/exchange_message.hpp
@@ -35,6 +35,9 @@
     std::uint32_t share_weight = 1;
     bool repeatable = false;
     bool stream = false;
+    /// Whether this is the request's first try, which may be sent on to an
+    /// engine that holds more of the chat.
+    bool is_first = false;
     /// Whether the entry router has another engine to try. Otherwise the
     /// request waits here.
     bool may_go_elsewhere = true;
@@ -91,7 +94,7 @@
     std::vector<chat_hint> holders;
 };
 
-/// Tells the chat's home which engine served it.
+/// Tells a keeper of the chat's directory entry which engine served it.
 struct placed_message
 {
     team_id team;
@@ -123,21 +126,23 @@
 /// never seen it refuses it from then on.
 struct query_message
 {
+    /// Process that the request was sent to.
+    incarnation sent_to;
 };
 
 /// What an owner knows of an exchange.
-enum class request_state : std::uint8_t
+enum class exchange_state : std::uint8_t
 {
     refused,  ///< Never dispatched and never will be by this process.
-    queued,   ///< Waits for a slot.
-    running,  ///< Was dispatched and has not ended.
-    finished, ///< Was dispatched and has ended.
+    running,  ///< Was received and has not ended.
+    finished, ///< Was received and has ended.
+    unknown,  ///< Nothing can be said of it.
 };
 
 /// Answer to a query.
 struct state_message
 {
-    request_state value = request_state::running;
+    exchange_state value = exchange_state::running;
 };
 
 using exchange_content = std::variant<open_message,
@@ -148,8 +153,8 @@
                                       cancel_message,
                                       query_message,
                                       state_message,
-    placed_message,
-    load_message>;
+                                      placed_message,
+                                      load_message>;
 
 /// One message of an exchange.
 struct exchange_message
--- a/libs/pipeline/src/answer_writer.hpp
+++ b/libs/pipeline/src/answer_writer.hpp
@@ -5,13 +5,15 @@
 
 #include "request_context.hpp"
 
+#include <limpet/claims/claim_command.hpp>
 #include <limpet/pipeline/exchange_message.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
 #include <string>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// Holds a short answer back until it is whole, so that its outcome is in the
 /// head; streams events as they come. A stream may go on with another engine
@@ -34,6 +36,10 @@
     /// Ends the answer regularly.
     boost::asio::awaitable<status> complete();
 
+    /// Returns the whole answer for the record, without its body if that is
+    /// long or was streamed. Call before complete().
+    claims::settle recorded() const;
+
     /// Writes nothing more to the caller, who has gone.
     void detach() noexcept
     {
--- a/libs/pipeline/src/entry_service.hpp
+++ b/libs/pipeline/src/entry_service.hpp
@@ -4,21 +4,25 @@
 #pragma once
 
 #include "attempt.hpp"
+#include "claims_client.hpp"
 #include "filters.hpp"
 #include "fleet.hpp"
 #include "request_metrics.hpp"
 #include "routing_table.hpp"
 
 #include <limpet/admission/retry_budget.hpp>
-#include <limpet/placement/route.hpp>
+#include <limpet/base/random.hpp>
+#include <limpet/placement/itinerary.hpp>
 
 #include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <unordered_map>
 #include <vector>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 /// Parts that the entry service works with.
 struct entry_parts
@@ -27,6 +31,7 @@
     std::shared_ptr<fleet> members;
     std::shared_ptr<routing_table> routes;
     std::shared_ptr<request_metrics> metrics;
+    std::shared_ptr<claims_client> claims;
     /// Returns the configuration in force, or null before there is one.
     std::function<config::view_ptr()> config;
 };
@@ -54,25 +59,29 @@
     }
 
 private:
-    struct journey;
-
     filter_result run_filters(request_context& context);
     boost::asio::awaitable<void> run(request_context& context);
-    boost::asio::awaitable<filter_result>
-    try_engines(request_context& context, answer_writer& writer);
-    boost::asio::awaitable<attempt_result> try_engine(
-        request_context& context,
-        answer_writer& writer,
-        const attempt_target& target);
-    boost::asio::awaitable<void>
-    refuse(request_context& context, const refusal& why);
-    std::optional<attempt_target>
-    find_owner(const engine_id& engine, bool may_go_elsewhere) const;
-    bool may_retry(
-        const request_context& context,
-        const answer_writer& writer,
-        const attempt_result& result);
-    void tell_home(const request_context& context, const journey& trip);
+    boost::asio::awaitable<claims::settle>
+    run_claimed(request_context& context);
+    boost::asio::awaitable<void> replay(request_context& context,
+                                        const claims::settle& result);
+    boost::asio::awaitable<filter_result> try_engines(request_context& context,
+                                                      answer_writer& writer);
+    boost::asio::awaitable<attempt_result>
+    try_engine(request_context& context,
+               answer_writer& writer,
+               const attempt_target& target);
+    boost::asio::awaitable<void> refuse(request_context& context,
+                                        const refusal& why);
+    placement::stop next_stop(const model_id& model,
+                              placement::itinerary& trip);
+    std::optional<attempt_target> find_owner(const engine_id& engine,
+                                             const placement::stop& stop) const;
+    bool may_retry(const request_context& context,
+                   const answer_writer& writer,
+                   const attempt_result& result);
+    void tell_keepers(const request_context& context,
+                      const placement::itinerary& trip);
     void log_end(const request_context& context) const;
 
     entry_parts m_parts;
@@ -82,6 +91,9 @@
     placement::route_settings m_route_settings;
     std::mutex m_budget_mutex;
     admission::retry_budget m_budget;
+    std::mutex m_spares_mutex;
+    std::unordered_map<model_id, placement::spare_list> m_spares;
+    random_source m_random;
     std::atomic<std::size_t> m_open_count{0};
 };
 
--- a/libs/pipeline/src/exchange_codec.cpp
+++ b/libs/pipeline/src/exchange_codec.cpp
@@ -48,8 +48,8 @@
     return headers;
 }
 
-Offset<fbs::holder>
-write_holder(FlatBufferBuilder& builder, const chat_hint& held)
+Offset<fbs::holder> write_holder(FlatBufferBuilder& builder,
+                                 const chat_hint& held)
 {
     const auto engine = builder.CreateString(held.engine.get());
     return fbs::Createholder(
@@ -58,10 +58,9 @@
 
 chat_hint read_holder(const fbs::holder& table)
 {
-    return {
-        engine_id(table.engine()->str()),
-        incarnation(table.incarnation()),
-        token_count(table.tokens())};
+    return {engine_id(table.engine()->str()),
+            incarnation(table.incarnation()),
+            token_count(table.tokens())};
 }
 
 /// Writes each kind of content and remembers its union tag.
@@ -86,6 +85,7 @@
                                value.share_weight,
                                value.repeatable,
                                value.stream,
+                               value.is_first,
                                value.may_go_elsewhere,
                                to_wire_ms(value.deadline),
                                to_wire_ms(value.queue_time),
@@ -128,7 +128,7 @@
                                  static_cast<std::uint8_t>(value.reason.code),
                                  text,
                                  to_wire_ms(value.retry_after),
-                   builder.CreateVector(holders))
+                                 builder.CreateVector(holders))
             .Union();
     }
 
@@ -144,10 +144,10 @@
         return fbs::Createcancel(builder).Union();
     }
 
-    Offset<void> operator()(const query_message&)
+    Offset<void> operator()(const query_message& value)
     {
         kind = fbs::body::query;
-        return fbs::Createquery(builder).Union();
+        return fbs::Createquery(builder, value.sent_to.get()).Union();
     }
 
     Offset<void> operator()(const placed_message& value)
@@ -170,12 +170,11 @@
     {
         kind = fbs::body::load;
         const auto engine = builder.CreateString(value.engine.get());
-        return fbs::Createload(
-                   builder,
-                   engine,
-                   value.run.get(),
-                   value.in_flight,
-                   value.cached.get())
+        return fbs::Createload(builder,
+                               engine,
+                               value.run.get(),
+                               value.in_flight,
+                               value.cached.get())
             .Union();
     }
 };
@@ -194,6 +193,7 @@
     value.share_weight = table.share_weight();
     value.repeatable = table.repeatable();
     value.stream = table.stream();
+    value.is_first = table.is_first();
     value.may_go_elsewhere = table.may_go_elsewhere();
     value.deadline = milliseconds(table.deadline_ms());
     value.queue_time = milliseconds(table.queue_ms());
@@ -232,7 +232,7 @@
 
 std::optional<exchange_content> read_state(const fbs::state& table)
 {
-    const auto value = checked_enum(table.value(), request_state::finished);
+    const auto value = checked_enum(table.value(), exchange_state::unknown);
     if (!value)
     {
         return std::nullopt;
@@ -265,25 +265,23 @@
     case fbs::body::cancel:
         return cancel_message{};
     case fbs::body::query:
-        return query_message{};
+        return query_message{incarnation(table.content_as_query()->sent_to())};
     case fbs::body::state:
         return read_state(*table.content_as_state());
     case fbs::body::placed:
     {
         const fbs::placed& placed = *table.content_as_placed();
-        return placed_message{
-            team_id(placed.team()->str()),
-            chat_id(placed.chat()->str()),
-            read_holder(*placed.held())};
+        return placed_message{team_id(placed.team()->str()),
+                              chat_id(placed.chat()->str()),
+                              read_holder(*placed.held())};
     }
     case fbs::body::load:
     {
         const fbs::load& load = *table.content_as_load();
-        return load_message{
-            engine_id(load.engine()->str()),
-            incarnation(load.incarnation()),
-            load.in_flight(),
-            token_count(load.cached_tokens())};
+        return load_message{engine_id(load.engine()->str()),
+                            incarnation(load.incarnation()),
+                            load.in_flight(),
+                            token_count(load.cached_tokens())};
     }
     case fbs::body::NONE:
         break;
--- a/libs/pipeline/src/owner_service.cpp
+++ b/libs/pipeline/src/owner_service.cpp
@@ -2,21 +2,24 @@
 
 #include <limpet/base/log.hpp>
 #include <limpet/http/endpoint.hpp>
+#include <limpet/placement/itinerary.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <chrono>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 namespace net = boost::asio;
 
-namespace {
+namespace
+{
 
 /// Time after which a caller may try an engine again that was not owned here.
 constexpr duration not_owner_retry = milliseconds(100);
-constexpr std::uint8_t highest_priority = 9;
 constexpr double full_percent = 100.0;
 
 placement::engine_view make_engine_view(const membership::engine_record& from)
@@ -30,12 +33,29 @@
     return view;
 }
 
-bool is_in_service(
-    const membership::engine_record& record, const config::config_view& view)
+bool is_in_service(const membership::engine_record& record,
+                   const config::config_view& view)
 {
     return record.accepts_work() &&
-        view.in_service(record.server.data_centre) &&
-        view.in_service(record.server.engine);
+           view.in_service(record.server.data_centre) &&
+           view.in_service(record.server.engine);
+}
+
+exchange_state to_exchange_state(claims::request_state state)
+{
+    switch (state)
+    {
+    case claims::request_state::not_run:
+        return exchange_state::refused;
+    case claims::request_state::running:
+        return exchange_state::running;
+    case claims::request_state::finished:
+        return exchange_state::finished;
+    case claims::request_state::other_incarnation:
+    case claims::request_state::no_promise:
+        break;
+    }
+    return exchange_state::unknown;
 }
 
 model_id first_model(const membership::engine_record& record)
@@ -44,6 +64,13 @@
                                         : record.server.models.front();
 }
 
+/// Returns the VMs' common clock, which counts load epochs.
+duration common_clock()
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::system_clock::now().time_since_epoch());
+}
+
 std::shared_ptr<const admission::share_table>
 make_shares(const config::config_view& view)
 {
@@ -69,12 +96,11 @@
 /// One engine's dispatcher and the facts that dispatching needs.
 struct owner_service::owned_engine
 {
-    owned_engine(
-        const membership::engine_record& from,
-        std::shared_ptr<model_bound> model)
-        : record(from)
-        , bound(std::move(model))
-        , queue(admission::dispatcher_settings{}, make_engine_view(from))
+    owned_engine(const membership::engine_record& from,
+                 std::shared_ptr<model_bound> model)
+        : record(from),
+          bound(std::move(model)),
+          queue(admission::dispatcher_settings{}, make_engine_view(from))
     {
     }
 
@@ -85,24 +111,24 @@
     bool in_service = true;
 };
 
-owner_service::owner_service(
-    net::io_context& context,
-    std::shared_ptr<wire::link_hub> hub,
-    std::shared_ptr<http::client> client,
-    std::shared_ptr<fleet> members,
-    std::shared_ptr<shared_directory> directory)
-    : m_context(context)
-    , m_hub(std::move(hub))
-    , m_client(std::move(client))
-    , m_fleet(std::move(members))
-    , m_directory(std::move(directory))
-    , m_shares(std::make_shared<admission::share_table>())
-    , m_config(std::make_shared<config::config_view>())
+owner_service::owner_service(net::io_context& context,
+                             std::shared_ptr<wire::link_hub> hub,
+                             std::shared_ptr<http::client> client,
+                             std::shared_ptr<fleet> members,
+                             std::shared_ptr<shared_directory> directory)
+    : m_context(context),
+      m_hub(std::move(hub)),
+      m_client(std::move(client)),
+      m_fleet(std::move(members)),
+      m_directory(std::move(directory)),
+      m_shares(std::make_shared<admission::share_table>()),
+      m_config(std::make_shared<config::config_view>()),
+      m_ledger(m_hub->self().start, {})
 {
 }
 
-void owner_service::receive(
-    const wire::link_identity& from, exchange_message message)
+void owner_service::receive(const wire::link_identity& from,
+                            exchange_message message)
 {
     const exchange_id id = message.exchange;
     if (auto* request = std::get_if<open_message>(&message.content))
@@ -110,9 +136,9 @@
         open(from, id, std::move(*request));
         return;
     }
-    if (std::holds_alternative<query_message>(message.content))
+    if (const auto* query = std::get_if<query_message>(&message.content))
     {
-        answer_query(from, id);
+        answer_query(from, id, *query);
         return;
     }
     const request_id key = make_exchange_key(from, id);
@@ -145,32 +171,38 @@
     }
 }
 
-void owner_service::open(
-    const wire::link_identity& from, exchange_id id, open_message request)
+void owner_service::open(const wire::link_identity& from,
+                         exchange_id id,
+                         open_message request)
 {
     const time_point now = monotonic_clock::now();
     const auto exchange = std::make_shared<served_exchange>(
         m_context, m_hub, m_client, from, id, std::move(request));
     if (!register_exchange(exchange))
     {
-        refuse_open(
-            exchange,
-            {error_code::cancelled, "refused after a lost link"},
-            duration::zero());
+        refuse_open(exchange,
+                    {error_code::cancelled, "refused after a lost link"},
+                    duration::zero());
         return;
     }
     const engine_id& engine_name = exchange->open().engine;
     const auto members = m_fleet->view();
     const membership::engine_entry* entry = members->find_engine(engine_name);
     const auto standing = m_fleet->ownership_of(engine_name, now);
-    if (entry == nullptr ||
-        standing.mode == membership::ownership_mode::none)
+    if (entry == nullptr || standing.mode == membership::ownership_mode::none)
     {
         forget(exchange->key());
-        refuse_open(
-            exchange,
-            {error_code::not_owner, "engine is not owned here"},
-            not_owner_retry);
+        refuse_open(exchange,
+                    {error_code::not_owner, "engine is not owned here"},
+                    not_owner_retry);
+        return;
+    }
+    const auto holders = holders_of(exchange->open(), now);
+    if (exchange->open().is_first && exchange->open().may_go_elsewhere &&
+        placement::is_better_elsewhere(holders, engine_name))
+    {
+        forget(exchange->key());
+        refuse_open(exchange, {error_code::overloaded, "cached elsewhere"}, {});
         return;
     }
     const engine_ptr engine = find_or_add_engine(*entry->engine, now);
@@ -184,15 +216,19 @@
 bool owner_service::register_exchange(const exchange_ptr& exchange)
 {
     const std::lock_guard lock(m_exchanges_mutex);
-    if (!m_ledger.begin(exchange->key(), monotonic_clock::now()))
+    const auto arrival =
+        m_ledger.arrive(exchange->key(), monotonic_clock::now());
+    if (arrival != claims::arrival::run)
     {
         return false;
     }
-    return m_exchanges.emplace(exchange->key(), exchange).second;
+    m_exchanges.emplace(exchange->key(), exchange);
+    return true;
 }
 
-void owner_service::refuse_open(
-    const exchange_ptr& exchange, error reason, duration retry_after)
+void owner_service::refuse_open(const exchange_ptr& exchange,
+                                error reason,
+                                duration retry_after)
 {
     exchange->finish_not_run(
         std::move(reason), retry_after, hints_for(exchange->open()));
@@ -219,18 +255,16 @@
     exchange->post_cancel();
 }
 
-void owner_service::answer_query(
-    const wire::link_identity& from, exchange_id id)
+void owner_service::answer_query(const wire::link_identity& from,
+                                 exchange_id id,
+                                 const query_message& query)
 {
     const request_id key = make_exchange_key(from, id);
     state_message answer;
     {
         const std::lock_guard lock(m_exchanges_mutex);
-        const bool open = m_exchanges.contains(key);
-        const bool seen = m_ledger.query(key, monotonic_clock::now());
-        answer.value = open ? request_state::running
-            : seen          ? request_state::finished
-                            : request_state::refused;
+        answer.value = to_exchange_state(
+            m_ledger.query(key, query.sent_to, monotonic_clock::now()));
     }
     m_hub->send(from.vm, wire::channel::exchange, encode({id, answer}));
 }
@@ -239,6 +273,7 @@
 {
     const std::lock_guard lock(m_exchanges_mutex);
     m_exchanges.erase(key);
+    m_ledger.finish(key, monotonic_clock::now());
 }
 
 owner_service::exchange_ptr
@@ -257,8 +292,9 @@
     return found == m_engines.end() ? nullptr : found->second;
 }
 
-owner_service::engine_ptr owner_service::find_or_add_engine(
-    const membership::engine_record& record, time_point now)
+owner_service::engine_ptr
+owner_service::find_or_add_engine(const membership::engine_record& record,
+                                  time_point now)
 {
     if (engine_ptr known = find_engine(record.server.engine))
     {
@@ -294,22 +330,26 @@
 void owner_service::refresh_bounds(time_point now)
 {
     const vm_id region_sum("region");
+    const duration common = common_clock();
     const std::shared_lock lock(m_engines_mutex);
     for (const auto& [model, bound] : m_bounds)
     {
         const auto load = m_fleet->load_of(model, now);
-        if (!load)
+        const std::lock_guard bound_lock(bound->mutex);
+        if (load)
         {
-            continue;
+            bound->bound.set_engines(load->eligible, now);
+            bound->bound.report(region_sum,
+                                {placement::epoch_of(common - load->age),
+                                 load->eligible,
+                                 load->in_flight});
         }
-        const std::lock_guard bound_lock(bound->mutex);
-        bound->bound.set_engines(load->eligible, now);
-        bound->bound.report(region_sum, {load->in_flight, now - load->age});
+        bound->bound.advance(placement::epoch_of(common), now);
     }
 }
 
-void owner_service::update(
-    const fleet::view_ptr& members, const config::view_ptr& config)
+void owner_service::update(const fleet::view_ptr& members,
+                           const config::view_ptr& config)
 {
     const time_point now = monotonic_clock::now();
     const auto shares = make_shares(*config);
@@ -335,7 +375,8 @@
             if (entry != nullptr &&
                 entry->engine->server.started != engine->record.server.started)
             {
-                engine->queue.report({entry->engine->server.started, 0, {}}, now);
+                engine->queue.report({entry->engine->server.started, 0, {}},
+                                     now);
             }
             if (entry != nullptr)
             {
@@ -409,8 +450,8 @@
     }
 }
 
-void owner_service::report(
-    const engine_id& engine, const placement::engine_report& load)
+void owner_service::report(const engine_id& engine,
+                           const placement::engine_report& load)
 {
     const engine_ptr found = find_engine(engine);
     if (!found)
@@ -450,20 +491,18 @@
 
 std::vector<engine_status> owner_service::engines() const
 {
-    const time_point now = monotonic_clock::now();
     std::vector<engine_status> all;
     const std::shared_lock lock(m_engines_mutex);
     for (const auto& [id, engine] : m_engines)
     {
         const std::lock_guard engine_lock(engine->mutex);
         const std::lock_guard bound_lock(engine->bound->mutex);
-        all.push_back(
-            {id,
-             engine->queue.in_flight(),
-             engine->queue.waiting(),
-             engine->queue.limit(),
-             engine->bound->bound.bound(now),
-             engine->in_service});
+        all.push_back({id,
+                       engine->queue.in_flight(),
+                       engine->queue.waiting(),
+                       engine->queue.limit(),
+                       engine->bound->bound.bound(),
+                       engine->in_service});
     }
     return all;
 }
@@ -505,20 +544,18 @@
         forget(key);
         if (const auto* no = std::get_if<admission::refuse_request>(&action))
         {
-            refuse_open(
-                exchange,
-                {code_of(no->why.reason),
-                 std::string(to_string(no->why.reason))},
-                no->why.retry_after);
+            refuse_open(exchange,
+                        {code_of(no->why.reason),
+                         std::string(to_string(no->why.reason))},
+                        no->why.retry_after);
             continue;
         }
-        refuse_open(
-            exchange, {error_code::overloaded, "go_elsewhere"}, {});
+        refuse_open(exchange, {error_code::overloaded, "go_elsewhere"}, {});
     }
 }
 
-void owner_service::start(
-    const engine_ptr& engine, const exchange_ptr& exchange)
+void owner_service::start(const engine_ptr& engine,
+                          const exchange_ptr& exchange)
 {
     const time_point now = monotonic_clock::now();
     dispatch_target target;
@@ -526,12 +563,14 @@
         const std::lock_guard lock(engine->mutex);
         const auto address =
             http::parse_endpoint(engine->record.server.address);
-        target.address = is_ok(address) ? value_of(address)
-                                        : net::ip::tcp::endpoint();
+        target.address =
+            is_ok(address) ? value_of(address) : net::ip::tcp::endpoint();
+        target.checks_fencing = engine->record.server.checks_fencing;
         target.must_echo_request =
             engine->record.server.kind == membership::server_kind::engine;
     }
-    target.fencing = m_fleet->ownership_of(exchange->open().engine, now).fencing;
+    target.fencing =
+        m_fleet->ownership_of(exchange->open().engine, now).fencing;
     net::co_spawn(
         exchange->executor(),
         [self = shared_from_this(), engine, exchange, target]()
@@ -540,8 +579,8 @@
             const auto on_first_token = [self, engine, exchange]
             {
                 const std::lock_guard lock(engine->mutex);
-                engine->queue.first_token(
-                    exchange->key(), monotonic_clock::now());
+                engine->queue.first_token(exchange->key(),
+                                          monotonic_clock::now());
             };
             const served_result result =
                 co_await exchange->run(target, on_first_token);
@@ -550,10 +589,9 @@
         net::detached);
 }
 
-void owner_service::finish(
-    const engine_ptr& engine,
-    const exchange_ptr& exchange,
-    const served_result& result)
+void owner_service::finish(const engine_ptr& engine,
+                           const exchange_ptr& exchange,
+                           const served_result& result)
 {
     const time_point now = monotonic_clock::now();
     const open_message& request = exchange->open();
@@ -591,43 +629,41 @@
     m_fleet->set_load(id, load);
 }
 
+placement::chat_holders owner_service::holders_of(const open_message& request,
+                                                  time_point now) const
+{
+    return m_directory->find(
+        placement::make_chat_key(request.team, request.chat), now);
+}
+
 std::vector<chat_hint>
 owner_service::hints_for(const open_message& request) const
 {
     std::vector<chat_hint> hints;
-    const auto holders = m_directory->find(
-        placement::make_chat_key(request.team, request.chat),
-        monotonic_clock::now());
-    for (const placement::chat_holder& held : holders)
+    for (const placement::chat_holder& held :
+         holders_of(request, monotonic_clock::now()))
     {
         hints.push_back({held.engine, held.run, held.tokens});
     }
     return hints;
 }
 
-admission::offer owner_service::make_offer(
-    const served_exchange& exchange, time_point now) const
+admission::offer owner_service::make_offer(const served_exchange& exchange,
+                                           time_point now) const
 {
     const open_message& request = exchange.open();
     admission::offer made;
     made.item.id = exchange.key();
     made.item.partner = request.partner;
     made.item.team = request.team;
-    made.item.priority = static_cast<std::uint8_t>(
-        highest_priority - std::min(request.priority, highest_priority));
+    made.item.priority = request.priority;
     made.item.cost = token_count(std::max(1U, request.cost_tokens));
     made.item.deadline = now + std::min(request.deadline, request.queue_time);
     made.prompt = token_count(request.cost_tokens);
     made.may_go_elsewhere = request.may_go_elsewhere;
-    const auto holders = m_directory->find(
-        placement::make_chat_key(request.team, request.chat), now);
-    for (const placement::chat_holder& held : holders)
-    {
-        if (held.engine == request.engine)
-        {
-            made.cached = std::min(made.prompt, held.tokens);
-        }
-    }
+    made.cached = std::min(
+        made.prompt,
+        placement::cached_at(holders_of(request, now), request.engine));
     return made;
 }
 
--- a/libs/pipeline/src/router.cpp
+++ b/libs/pipeline/src/router.cpp
@@ -1,5 +1,3 @@
-#include <limpet/pipeline/router.hpp>
-
 #include "answers.hpp"
 #include "backend_api.hpp"
 #include "config_store.hpp"
@@ -12,6 +10,7 @@
 #include <limpet/base/log.hpp>
 #include <limpet/base/timer_service.hpp>
 #include <limpet/http/endpoint.hpp>
+#include <limpet/pipeline/router.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -19,14 +18,15 @@
 
 #include <atomic>
 
-namespace limpet::pipeline {
+namespace limpet::pipeline
+{
 
 namespace net = boost::asio;
 
-namespace {
+namespace
+{
 
 constexpr duration tick_period = milliseconds(50);
-constexpr duration config_poll_period = milliseconds(500);
 constexpr duration drain_check_period = milliseconds(50);
 /// Time for which a leaving router keeps on telling its peers.
 constexpr duration leave_time = seconds(1);
@@ -36,17 +36,16 @@
 class running_router final : public router
 {
 public:
-    running_router(
-        net::io_context& context,
-        router_settings settings,
-        std::function<void()> on_stop)
-        : m_context(context)
-        , m_settings(std::move(settings))
-        , m_on_stop(std::move(on_stop))
-        , m_strand(net::make_strand(context))
-        , m_timers(monotonic_clock::now())
-        , m_clock(m_strand)
-        , m_incarnation(make_incarnation())
+    running_router(net::io_context& context,
+                   router_settings settings,
+                   std::function<void()> on_stop)
+        : m_context(context),
+          m_settings(std::move(settings)),
+          m_on_stop(std::move(on_stop)),
+          m_strand(net::make_strand(context)),
+          m_timers(monotonic_clock::now()),
+          m_clock(m_strand),
+          m_incarnation(make_incarnation())
     {
     }
 
@@ -60,10 +59,23 @@
         }
         m_fleet = std::make_shared<fleet>(
             m_settings, m_incarnation, m_incarnation.get(), now);
+        m_config = std::make_shared<config_store>(m_settings,
+                                                  m_incarnation.get(),
+                                                  m_hub,
+                                                  [this]
+                                                  {
+                                                      update_routes();
+                                                  });
         m_directory = std::make_shared<shared_directory>(
             m_settings.directory_chats, directory_keep);
         m_routes = std::make_shared<routing_table>(now);
         m_metrics = std::make_shared<request_metrics>(max_metric_teams);
+        std::vector<vm_id> controls;
+        for (const control_peer& peer : m_settings.control)
+        {
+            controls.push_back(peer.vm);
+        }
+        m_claims = std::make_shared<claims_client>(m_hub, std::move(controls));
         m_client = http::client::create({});
         m_owners = std::make_shared<owner_service>(
             m_context, m_hub, m_client, m_fleet, m_directory);
@@ -77,25 +89,23 @@
         }
         m_links_ready = true;
         subscribe_timers();
-        log_event(
-            log_level::info,
-            "router.start",
-            {{"vm", m_settings.self.vm.get()},
-             {"data_centre", m_settings.self.data_centre.get()},
-             {"incarnation", m_incarnation.get()},
-             {"callers", http::to_string(callers())},
-             {"backends", http::to_string(backends())}});
+        log_event(log_level::info,
+                  "router.start",
+                  {{"vm", m_settings.self.vm.get()},
+                   {"data_centre", m_settings.self.data_centre.get()},
+                   {"incarnation", m_incarnation.get()},
+                   {"callers", http::to_string(callers())},
+                   {"backends", http::to_string(backends())}});
         return success();
     }
 
     void drain(std::function<void()> on_drained) override
     {
-        net::post(
-            m_strand,
-            [this, call = std::move(on_drained)]() mutable
-            {
-                begin_drain(std::move(call));
-            });
+        net::post(m_strand,
+                  [this, call = std::move(on_drained)]() mutable
+                  {
+                      begin_drain(std::move(call));
+                  });
     }
 
     void close() override
@@ -104,12 +114,11 @@
         m_caller_server->close();
         m_backend_server->close();
         m_hub->close();
-        net::post(
-            m_strand,
-            [this]
-            {
-                m_clock.cancel();
-            });
+        net::post(m_strand,
+                  [this]
+                  {
+                      m_clock.cancel();
+                  });
     }
 
     net::ip::tcp::endpoint callers() const override
@@ -126,10 +135,9 @@
     status open_links()
     {
         wire::link_handlers handlers;
-        handlers.on_frame = [this](
-                                const wire::link_identity& from,
-                                wire::channel kind,
-                                std::string payload)
+        handlers.on_frame = [this](const wire::link_identity& from,
+                                   wire::channel kind,
+                                   std::string payload)
         {
             take_frame(from, kind, std::move(payload));
         };
@@ -141,11 +149,10 @@
                 m_owners->on_peer_lost(peer);
             }
         };
-        const wire::link_identity self{
-            m_settings.self.vm,
-            m_settings.self.data_centre,
-            m_incarnation,
-            m_settings.self.address};
+        const wire::link_identity self{m_settings.self.vm,
+                                       m_settings.self.data_centre,
+                                       m_incarnation,
+                                       m_settings.self.address};
         auto hub = wire::link_hub::listen(
             m_context, m_settings.peers, self, {}, std::move(handlers));
         if (!is_ok(hub))
@@ -199,33 +206,32 @@
 
     entry_parts make_entry_parts()
     {
-        return {
-            m_hub,
-            m_fleet,
-            m_routes,
-            m_metrics,
-            [this]
-            {
-                return m_config.get();
-            }};
+        return {m_hub,
+                m_fleet,
+                m_routes,
+                m_metrics,
+                m_claims,
+                [this]
+                {
+                    return m_config->get();
+                }};
     }
 
     backend_api_parts make_api_parts()
     {
-        return {
-            m_hub,
-            m_fleet,
-            m_owners,
-            m_directory,
-            m_metrics,
-            [this]
-            {
-                return m_config.get();
-            },
-            [this]
-            {
-                return is_ready();
-            }};
+        return {m_hub,
+                m_fleet,
+                m_owners,
+                m_directory,
+                m_metrics,
+                [this]
+                {
+                    return m_config->get();
+                },
+                [this]
+                {
+                    return is_ready();
+                }};
     }
 
     void connect_fleet()
@@ -258,10 +264,9 @@
         co_await m_entry->handle(exchange);
     }
 
-    void take_frame(
-        const wire::link_identity& from,
-        wire::channel kind,
-        std::string payload)
+    void take_frame(const wire::link_identity& from,
+                    wire::channel kind,
+                    std::string payload)
     {
         if (!m_links_ready)
         {
@@ -275,28 +280,29 @@
         case wire::channel::exchange:
             take_exchange(from, payload);
             return;
+        case wire::channel::control:
+            take_reply(payload);
+            return;
         case wire::channel::config:
-            take_config(payload);
+            m_config->receive(from.vm, payload, monotonic_clock::now());
             return;
         default:
-            log_event(
-                log_level::warn,
-                "frame.unexpected",
-                {{"peer", from.vm.get()}, {"channel", to_string(kind)}});
+            log_event(log_level::warn,
+                      "frame.unexpected",
+                      {{"peer", from.vm.get()}, {"channel", to_string(kind)}});
         }
     }
 
-    void
-    take_exchange(const wire::link_identity& from, std::string_view payload)
+    void take_exchange(const wire::link_identity& from,
+                       std::string_view payload)
     {
         auto message = decode_exchange_message(payload);
         if (!is_ok(message))
         {
-            log_event(
-                log_level::warn,
-                "frame.malformed",
-                {{"peer", from.vm.get()},
-                 {"reason", error_of(message).message}});
+            log_event(log_level::warn,
+                      "frame.malformed",
+                      {{"peer", from.vm.get()},
+                       {"reason", error_of(message).message}});
             return;
         }
         exchange_message& value = value_of(message);
@@ -310,52 +316,47 @@
         }
     }
 
-    static bool is_for_entry(const exchange_content& content)
+    void take_reply(std::string_view payload)
     {
-        return std::holds_alternative<head_message>(content) ||
-            std::holds_alternative<part_message>(content) ||
-            std::holds_alternative<finish_message>(content) ||
-            std::holds_alternative<state_message>(content);
+        auto message = wire::decode_call_message(payload);
+        if (is_ok(message) &&
+            std::holds_alternative<wire::reply>(value_of(message)))
+        {
+            m_claims->receive(
+                std::move(std::get<wire::reply>(value_of(message))));
+        }
     }
 
-    void take_config(std::string_view payload)
+    static bool is_for_entry(const exchange_content& content)
     {
-        auto view = config::decode_view(payload);
-        if (!is_ok(view))
-        {
-            log_event(
-                log_level::warn,
-                "config.refused",
-                {{"reason", error_of(view).message}});
-            return;
-        }
-        if (m_config.adopt(
-                std::make_shared<const config::config_view>(
-                    std::move(value_of(view)))))
-        {
-            log_event(
-                log_level::info,
-                "config.in_force",
-                {{"revision", m_config.get()->where().number.get()}});
-            update_routes();
-        }
+        return std::holds_alternative<head_message>(content) ||
+               std::holds_alternative<part_message>(content) ||
+               std::holds_alternative<finish_message>(content) ||
+               std::holds_alternative<state_message>(content);
     }
 
     void update_links(const fleet::view_ptr& view)
     {
+        std::vector<vm_id> neighbours;
         for (const membership::router_record& peer : view->routers())
         {
+            if (peer.self.vm != m_settings.self.vm &&
+                peer.self.data_centre == m_settings.self.data_centre)
+            {
+                neighbours.push_back(peer.self.vm);
+            }
             const auto address = http::parse_endpoint(peer.self.address);
             if (peer.self.vm != m_settings.self.vm && is_ok(address))
             {
                 m_hub->set_peer(peer.self.vm, value_of(address));
             }
         }
+        m_config->set_peers(std::move(neighbours));
     }
 
     void update_routes()
     {
-        const config::view_ptr config = m_config.get();
+        const config::view_ptr config = m_config->get();
         if (!config)
         {
             return;
@@ -367,31 +368,23 @@
 
     bool is_ready() const
     {
-        return !m_draining && m_fleet->joined() && m_config.get() != nullptr;
+        return !m_draining && m_fleet->joined() && m_config->get() != nullptr;
     }
 
     void subscribe_timers()
     {
-        m_timers.every(
-            tick_period,
-            [this](time_point now)
-            {
-                m_fleet->tick(now);
-                m_owners->tick(now);
-            });
-        m_timers.every(
-            config_poll_period,
-            [this](time_point)
-            {
-                ask_for_config();
-            });
-        net::post(
-            m_strand,
-            [this]
-            {
-                ask_for_config();
-                run_clock();
-            });
+        m_timers.every(tick_period,
+                       [this](time_point now)
+                       {
+                           m_fleet->tick(now);
+                           m_owners->tick(now);
+                           m_config->tick(now);
+                       });
+        net::post(m_strand,
+                  [this]
+                  {
+                      run_clock();
+                  });
     }
 
     void run_clock()
@@ -413,14 +406,6 @@
             });
     }
 
-    void ask_for_config()
-    {
-        for (const control_peer& peer : m_settings.control)
-        {
-            m_hub->send(peer.vm, wire::channel::config, "");
-        }
-    }
-
     void begin_drain(std::function<void()> on_drained)
     {
         m_draining = true;
@@ -433,8 +418,8 @@
             drain_check_period,
             [this, earliest, id, call = std::move(on_drained)](time_point now)
             {
-                const bool idle = m_entry->open_count() == 0 &&
-                    m_owners->open_count() == 0;
+                const bool idle =
+                    m_entry->open_count() == 0 && m_owners->open_count() == 0;
                 if (idle && now >= earliest)
                 {
                     m_timers.cancel(*id);
@@ -450,12 +435,13 @@
     timer_service m_timers;
     net::steady_timer m_clock;
     incarnation m_incarnation;
-    config_store m_config;
+    std::shared_ptr<config_store> m_config;
     std::shared_ptr<wire::link_hub> m_hub;
     std::shared_ptr<fleet> m_fleet;
     std::shared_ptr<shared_directory> m_directory;
     std::shared_ptr<routing_table> m_routes;
     std::shared_ptr<request_metrics> m_metrics;
+    std::shared_ptr<claims_client> m_claims;
     std::shared_ptr<http::client> m_client;
     std::shared_ptr<owner_service> m_owners;
     std::unique_ptr<entry_service> m_entry;
@@ -470,13 +456,12 @@
 
 } // namespace
 
-outcome<std::unique_ptr<router>> router::create(
-    net::io_context& context,
-    const router_settings& settings,
-    std::function<void()> on_stop)
+outcome<std::unique_ptr<router>> router::create(net::io_context& context,
+                                                const router_settings& settings,
+                                                std::function<void()> on_stop)
 {
-    auto made = std::make_unique<running_router>(
-        context, settings, std::move(on_stop));
+    auto made =
+        std::make_unique<running_router>(context, settings, std::move(on_stop));
     const status started = made->start();
     if (!is_ok(started))
     {
