--- a/bench/suites/placement/direct_placement.cpp
+++ b/bench/suites/placement/direct_placement.cpp
@@ -77,6 +77,7 @@
     m_fleet.start(
         *engine,
         request,
+        std::nullopt,
         [] {},
         [this, router, engine = *engine](std::uint64_t, bool)
         {
--- a/bench/suites/placement/fleet.cpp
+++ b/bench/suites/placement/fleet.cpp
@@ -62,10 +62,14 @@
     return values[static_cast<std::size_t>(place)];
 }
 
-fleet::fleet(event_queue& events, engine_model model, time_point measure_from)
+fleet::fleet(event_queue& events,
+             engine_model model,
+             time_point measure_from,
+             time_point measure_until)
     : m_events(events),
       m_model(model),
-      m_measure_from(measure_from)
+      m_measure_from(measure_from),
+      m_measure_until(measure_until)
 {
 }
 
@@ -148,6 +152,7 @@
 
 void fleet::start(std::uint32_t index,
                   const turn& request,
+                  std::optional<std::uint32_t> import_from,
                   const answered& on_first_token,
                   const finished& on_finished)
 {
@@ -157,18 +162,35 @@
     m_in_flight += engine.view.in_service ? 1 : 0;
     note_mean();
     check_dispatch(engine);
-    const std::uint32_t warm =
+    std::uint32_t warm =
         std::min(engine.cache.find(request.chat), request.prompt_tokens);
+    double transfer = 0;
+    if (import_from && m_engines[*import_from].alive)
+    {
+        const std::uint32_t found =
+            std::min(m_engines[*import_from].cache.find(request.chat),
+                     request.prompt_tokens);
+        transfer = to_seconds(m_model.import_base);
+        if (found > warm)
+        {
+            transfer += found / m_model.import_tokens_per_second;
+            m_measured.imported_tokens += is_measured() ? found - warm : 0;
+            warm = found;
+        }
+    }
     engine.cache.store(request.chat, request.prompt_tokens);
     const double prefill =
         (request.prompt_tokens - warm) / m_model.prefill_tokens_per_second;
     const double nominal = to_seconds(m_model.first_token_base) + prefill;
-    const double first = nominal * (engine.slow ? m_model.cold_slowdown : 1);
+    const double slowdown = engine.slow ? m_model.cold_slowdown : 1;
+    const double first = transfer + nominal * slowdown;
     const duration wait = m_events.now() - request.at;
     if (is_measured())
     {
         ++m_measured.started;
         ++m_measured.partner_started[request.partner];
+        m_measured.partner_tokens[request.partner] +=
+            request.prompt_tokens + request.output_tokens;
         m_measured.prompt_tokens += request.prompt_tokens;
         m_measured.warm_tokens += warm;
         m_measured.first_token_seconds.push_back(to_seconds(wait) + first);
@@ -201,9 +223,14 @@
     m_measured.refused += is_measured() ? 1 : 0;
 }
 
-void fleet::arrive(const turn&)
+void fleet::arrive(const turn& request)
 {
-    m_measured.requests += is_measured() ? 1 : 0;
+    if (!is_measured())
+    {
+        return;
+    }
+    ++m_measured.requests;
+    ++m_measured.partner_arrived[request.partner];
 }
 
 const std::vector<fake_engine>& fleet::engines() const noexcept
@@ -341,7 +368,7 @@
 
 bool fleet::is_measured() const
 {
-    return m_events.now() >= m_measure_from;
+    return m_events.now() >= m_measure_from && m_events.now() < m_measure_until;
 }
 
 } // namespace limpet::bench
--- a/bench/suites/placement/fleet.hpp
+++ b/bench/suites/placement/fleet.hpp
@@ -14,6 +14,7 @@
 #include <deque>
 #include <functional>
 #include <list>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -61,6 +62,9 @@
     /// How much slower an engine is that lost its cache and its warm-up.
     double cold_slowdown = 5;
     double load_multiple = 1.25;
+    /// Cached tokens that one engine takes over from another in a second.
+    double import_tokens_per_second = 20'000;
+    duration import_base = milliseconds(10);
 };
 
 /// What a run measured from the end of its warm-up on.
@@ -75,10 +79,15 @@
     std::uint64_t notes = 0;
     double prompt_tokens = 0;
     double warm_tokens = 0;
+    /// Those of the warm tokens that were imported.
+    double imported_tokens = 0;
     std::vector<double> first_token_seconds;
     /// Waits of each partner's requests.
     std::array<std::vector<double>, 2> wait_seconds;
+    std::array<std::uint64_t, 2> partner_arrived{};
     std::array<std::uint64_t, 2> partner_started{};
+    /// Tokens of the started requests, as the fair queue counts them.
+    std::array<double, 2> partner_tokens{};
     /// Highest load after a dispatch over the rounded multiple of the highest
     /// true mean within the last second.
     double load_over_bound = 0;
@@ -126,7 +135,11 @@
     using finished = std::function<void(std::uint64_t, bool)>;
     using answered = std::function<void()>;
 
-    fleet(event_queue& events, engine_model model, time_point measure_from);
+    /// Measures what happens between the two times.
+    fleet(event_queue& events,
+          engine_model model,
+          time_point measure_from,
+          time_point measure_until);
 
     std::uint32_t add_engine(std::uint32_t data_centre, bool warm);
     void remove_engine(std::uint32_t index);
@@ -137,9 +150,11 @@
     /// The engine loses its cache and its warm-up without a word.
     void turn_cold(std::uint32_t index);
 
-    /// Starts the turn on the engine, which must be alive.
+    /// Starts the turn on the engine, which must be alive, after importing
+    /// the chat's cache from another engine if one is given.
     void start(std::uint32_t index,
                const turn& request,
+               std::optional<std::uint32_t> import_from,
                const answered& on_first_token,
                const finished& on_finished);
 
@@ -178,6 +193,7 @@
     event_queue& m_events;
     engine_model m_model;
     time_point m_measure_from;
+    time_point m_measure_until;
     std::vector<fake_engine> m_engines;
     std::unordered_map<std::uint64_t, flight> m_flights;
     std::uint64_t m_next_flight = 0;
--- a/bench/suites/placement/routed_placement.cpp
+++ b/bench/suites/placement/routed_placement.cpp
@@ -14,7 +14,6 @@
 
 constexpr duration hop = milliseconds(1);
 constexpr duration report_interval = seconds(1);
-constexpr std::uint32_t most_rounds = 3;
 
 } // namespace
 
@@ -43,7 +42,7 @@
              placement::chat_directory(m_settings.directory_capacity,
                                        std::chrono::hours(1)),
              {}});
-        m_routers.back().bound.set_engines(view->size(), m_events.now());
+        m_routers.back().bound.set_engines(view->size());
         m_routers.back().lowest.record(0, m_events.now());
         m_events.at(time_point{} + placement::load_clock_skew -
                         m_routers.back().clock_offset,
@@ -95,7 +94,7 @@
                            }
                            item.list_version = version;
                            item.view = view;
-                           item.bound.set_engines(view->size(), m_events.now());
+                           item.bound.set_engines(view->size());
                        });
     }
 }
@@ -197,7 +196,7 @@
 {
     journey& item = m_journeys.at(id);
     placement::route_request request{
-        item.chat, item.request.returning, std::nullopt};
+        item.chat, item.request.returning, std::nullopt, item.rounds};
     const auto hint = m_hints.find(item.request.chat);
     if (m_settings.hints && hint != m_hints.end())
     {
@@ -212,9 +211,14 @@
 void routed_placement::try_next(const request_id& id)
 {
     journey& item = m_journeys.at(id);
-    if (item.at.is_last && ++item.rounds < most_rounds)
+    if (m_events.now() >= item.request.at + m_settings.deadline)
     {
-        // The engine where it waited went out of service.
+        act(admission::refuse_request{id, {}}, item.engine);
+        return;
+    }
+    if (item.at.is_last)
+    {
+        ++item.rounds;
         enter(id);
         return;
     }
@@ -262,7 +266,14 @@
     offer.item.deadline = item.request.at + m_settings.deadline;
     offer.prompt = token_count(item.request.prompt_tokens);
     offer.cached = cached;
+    const auto& holder = item.way->best_holder();
+    if (holder && holder->engine != m_fleet.engines()[item.engine].view.id)
+    {
+        offer.source = holder->engine;
+        offer.source_cached = holder->tokens;
+    }
     offer.may_go_elsewhere = !item.at.is_last;
+    offer.longest_wait = item.at.longest_wait;
     m_engines[item.engine].dispatcher.bring(offer, m_events.now());
     pump(item.engine);
 }
@@ -302,10 +313,16 @@
                            std::uint32_t engine)
 {
     const request_id id = action.id;
+    std::optional<std::uint32_t> source;
+    if (action.import_from)
+    {
+        source = index_of(*action.import_from);
+    }
     count(engine, true);
     m_fleet.start(
         engine,
         m_journeys.at(id).request,
+        source,
         [this, id, engine]
         {
             m_engines[engine].dispatcher.first_token(id, m_events.now());
@@ -430,7 +447,7 @@
     for (router& item : m_routers)
     {
         item.bound.report(source, digest);
-        item.bound.advance(epoch_at(item), m_events.now());
+        item.bound.advance(epoch_at(item));
         item.spares.report(source, spare);
         for (const std::uint32_t engine : item.engines)
         {
--- a/bench/suites/placement/run.cpp
+++ b/bench/suites/placement/run.cpp
@@ -9,6 +9,8 @@
 {
 
 constexpr duration drain_time = seconds(120);
+/// Time that an engine stays after it announced that it leaves.
+constexpr duration leave_time = seconds(30);
 
 /// Feeds one placement and changes the fleet under it.
 template <class Placement>
@@ -109,7 +111,13 @@
         else
         {
             // Announced: what runs is finished, nothing new starts.
-            m_fleet.set_in_service(pick(), false);
+            const std::uint32_t leaving = pick();
+            m_fleet.set_in_service(leaving, false);
+            m_events.after(leave_time,
+                           [this, leaving]
+                           {
+                               m_fleet.remove_engine(leaving);
+                           });
         }
         m_placement.engines_changed();
     }
@@ -136,7 +144,10 @@
                            const std::vector<turn>& workload)
 {
     event_queue events;
-    fleet engines(events, settings.model, time_point{} + settings.warm_up);
+    fleet engines(events,
+                  settings.model,
+                  time_point{} + settings.warm_up,
+                  settings.measure_until);
     for (std::uint32_t at = 0; at < settings.engines; ++at)
     {
         engines.add_engine(at % settings.data_centres, true);
--- a/bench/suites/placement/run.hpp
+++ b/bench/suites/placement/run.hpp
@@ -24,6 +24,8 @@
     engine_model model;
     duration warm_up = seconds(200);
     duration length = seconds(600);
+    /// End of the measurement; what runs on after it is not counted.
+    time_point measure_until = time_point::max();
     /// Interval at which an engine joins or leaves in turn.
     std::optional<duration> churn;
     /// Interval at which one engine drops off the lists or returns.
--- a/libs/admission/include/limpet/admission/dispatcher.hpp
+++ b/libs/admission/include/limpet/admission/dispatcher.hpp
@@ -39,6 +39,11 @@
     duration longest_patience = milliseconds(300);
     /// Prefill time that a warm engine has to save for a wait.
     duration worthwhile_saving = milliseconds(30);
+    /// Cached tokens that one engine takes over from another in a second, 0 if
+    /// the engines cannot.
+    double import_tokens_per_second = 0;
+    /// Time that an import takes beside the transfer.
+    duration import_base = milliseconds(10);
     /// Oldest report that the engine may send about itself.
     duration report_lag = seconds(6);
 };
@@ -51,19 +56,28 @@
     token_count prompt;
     /// Part of the prompt that the engine's cache is expected to hold.
     token_count cached;
+    /// Another engine that holds more of the prompt, if one is known.
+    std::optional<engine_id> source;
+    /// Part of the prompt that the source is expected to hold.
+    token_count source_cached;
     /// Whether the entry router has another engine to try. Otherwise the
-    /// request waits here until its deadline.
+    /// request waits here for up to `longest_wait`.
     bool may_go_elsewhere = true;
+    duration longest_wait = std::chrono::hours(1);
 };
 
 /// The request starts on the engine now.
 struct start_request
 {
     request_id id;
+    /// The engine from which the chat's cache should be imported first. If
+    /// that fails, the request starts without it.
+    std::optional<engine_id> import_from;
 };
 
 /// The request left the queue without being run; the entry router should try
-/// the next engine.
+/// the next engine, or begin another round after the last one. An engine out
+/// of service answers so too.
 struct go_elsewhere
 {
     request_id id;
@@ -114,8 +128,8 @@
     /// Records the first token of a request in flight.
     void first_token(const request_id& id, time_point now);
 
-    /// Records that a request in flight ended after `work` prefilled and
-    /// generated tokens. `failed` if the engine broke it off.
+    /// Records that a request in flight ended after so many generated tokens.
+    /// `failed` if the engine broke it off.
     void
     finish(const request_id& id, token_count work, bool failed, time_point now);
 
@@ -150,6 +164,7 @@
         token_count uncached;
         time_point started_at;
         bool answered = false;
+        std::uint32_t generation = 0;
     };
 
     struct pending
@@ -158,6 +173,12 @@
         time_point patient_until;
     };
 
+    /// Returns the time to the first token when the prompt has `cached` tokens
+    /// here and `importable` at another engine.
+    duration first_token_with(token_count prompt,
+                              token_count cached,
+                              token_count importable) const;
+    bool is_import_worthwhile(const offer& request) const;
     duration patience_of(const offer& request) const;
     duration expected_wait(std::size_t ahead, std::uint32_t slots) const;
     void start(const queue_item& item, time_point now);
@@ -173,6 +194,7 @@
     void check_overdue(time_point now);
     void forget(const request_id& id);
     void mark_answered(flight& item, const request_id& id);
+    void confirm_until(time_point started);
 
     dispatcher_settings m_settings;
     placement::engine_limit m_limit;
@@ -183,6 +205,9 @@
     std::set<std::pair<time_point, request_id>> m_patience;
     std::unordered_map<request_id, flight> m_flights;
     std::set<std::pair<time_point, request_id>> m_unanswered;
+    /// Requests in flight that started after the last one whose first token
+    /// came on time.
+    std::set<std::pair<time_point, request_id>> m_unconfirmed;
     /// Requests that came and found no room in the queue.
     std::vector<offer> m_rejected;
     /// Highest numbers in flight within the report lag.
--- a/libs/admission/src/dispatcher.cpp
+++ b/libs/admission/src/dispatcher.cpp
@@ -10,10 +10,9 @@
 
 constexpr double service_smoothing = 0.02;
 
-token_count uncached_part(const offer& request)
+token_count rest_of(token_count prompt, token_count cached)
 {
-    const std::uint64_t prompt = request.prompt.get();
-    return token_count(prompt - std::min(prompt, request.cached.get()));
+    return token_count(prompt.get() - std::min(prompt.get(), cached.get()));
 }
 
 } // namespace
@@ -53,6 +52,7 @@
         start(item, now);
         mark_answered(m_flights.at(item.id), item.id);
     }
+    confirm_until(now);
     m_limit.take_over(limit);
 }
 
@@ -88,7 +88,12 @@
         return;
     }
     flight& item = place->second;
-    m_limit.on_first_token(item.prompt, item.uncached, now - item.started_at);
+    const duration latency = now - item.started_at;
+    if (m_limit.is_on_time(item.uncached, latency))
+    {
+        confirm_until(item.started_at);
+    }
+    m_limit.on_first_token(item.prompt, item.uncached, latency);
     mark_answered(item, id);
 }
 
@@ -103,6 +108,7 @@
         return;
     }
     mark_answered(place->second, id);
+    m_unconfirmed.erase({place->second.started_at, id});
     m_slots.remove(place->second.partner);
     if (failed)
     {
@@ -112,7 +118,7 @@
     {
         const double took = to_seconds(now - place->second.started_at);
         m_service_seconds += service_smoothing * (took - m_service_seconds);
-        m_limit.on_completed(work);
+        m_limit.on_completed(work, place->second.generation);
     }
     m_flights.erase(place);
 }
@@ -175,22 +181,54 @@
     return next;
 }
 
+duration dispatcher::first_token_with(token_count prompt,
+                                      token_count cached,
+                                      token_count importable) const
+{
+    const duration local =
+        m_limit.expected_first_token(rest_of(prompt, cached));
+    if (m_settings.import_tokens_per_second <= 0 || importable <= cached)
+    {
+        return local;
+    }
+    const double transfer = static_cast<double>(importable.get()) /
+                            m_settings.import_tokens_per_second;
+    const duration imported =
+        m_settings.import_base + from_seconds(transfer) +
+        m_limit.expected_first_token(rest_of(prompt, importable));
+    return std::min(local, imported);
+}
+
+bool dispatcher::is_import_worthwhile(const offer& request) const
+{
+    const duration local =
+        first_token_with(request.prompt, request.cached, token_count(0));
+    const duration imported =
+        first_token_with(request.prompt, request.cached, request.source_cached);
+    return imported + m_settings.worthwhile_saving <= local;
+}
+
 duration dispatcher::patience_of(const offer& request) const
 {
     if (!request.may_go_elsewhere)
     {
-        return duration::max() / 4;
+        return request.longest_wait;
     }
-    const duration warm = m_limit.expected_first_token(uncached_part(request));
-    const duration cold = m_limit.expected_first_token(request.prompt);
-    if (cold - warm < m_settings.worthwhile_saving)
+    const duration warm =
+        first_token_with(request.prompt, request.cached, request.source_cached);
+    const duration elsewhere =
+        first_token_with(request.prompt, token_count(0), request.cached);
+    const duration saved = elsewhere - warm;
+    if (saved < m_settings.worthwhile_saving ||
+        saved < expected_wait(m_queue.size() - 1, in_flight()))
     {
         return duration::zero();
     }
-    // A wait must not push a request over the budget that it would keep at a
-    // cold engine; one that would not keep it there can only gain.
+    // A wait must not push a request over the budget that it would keep at
+    // another engine; one that would not keep it there can only gain.
     const duration budget = m_settings.first_token_budget;
-    const duration left = cold <= budget ? budget - cold : budget - warm;
+    const duration left =
+        elsewhere <= budget ? budget - elsewhere : budget - warm;
     return std::clamp(left, duration::zero(), m_settings.longest_patience);
 }
 
@@ -204,15 +242,20 @@
 void dispatcher::start(const queue_item& item, time_point now)
 {
     m_slots.add(item.partner);
-    flight started{item.partner, {}, {}, now, false};
+    flight started{item.partner, {}, {}, now, false, m_limit.generation()};
     const auto place = m_pending.find(item.id);
     if (place != m_pending.end())
     {
-        started.prompt = place->second.request.prompt;
-        started.uncached = uncached_part(place->second.request);
+        const offer& request = place->second.request;
+        const token_count cached = is_import_worthwhile(request)
+                                       ? request.source_cached
+                                       : request.cached;
+        started.prompt = request.prompt;
+        started.uncached = rest_of(started.prompt, cached);
     }
     m_flights.emplace(item.id, started);
     m_unanswered.emplace(now, item.id);
+    m_unconfirmed.emplace(now, item.id);
     const std::uint32_t count = in_flight();
     while (!m_highest.empty() && m_highest.back().second <= count)
     {
@@ -235,7 +278,7 @@
     {
         return m_slots.may_start(partner, slots, *m_shares);
     };
-    while (m_in_service && m_unanswered.size() < m_limit.max_unanswered())
+    while (m_in_service && m_unconfirmed.size() < m_limit.max_unconfirmed())
     {
         std::optional<queue_item> next = m_queue.pop(below);
         if (!next)
@@ -246,8 +289,11 @@
         {
             return;
         }
+        const offer request = m_pending.at(next->id).request;
         start(*next, now);
-        actions.push_back(start_request{next->id});
+        actions.push_back(start_request{
+            next->id,
+            is_import_worthwhile(request) ? request.source : std::nullopt});
     }
 }
 
@@ -258,15 +304,13 @@
     const duration retry = expected_wait(m_queue.size(), slots);
     for (const offer& request : m_rejected)
     {
-        if (request.may_go_elsewhere)
+        if (request.may_go_elsewhere || !m_in_service)
         {
             actions.push_back(go_elsewhere{request.item.id});
             continue;
         }
-        const refusal_reason reason = m_in_service
-                                          ? refusal_reason::queue_full
-                                          : refusal_reason::out_of_service;
-        actions.push_back(refuse_request{request.item.id, {reason, retry}});
+        actions.push_back(refuse_request{request.item.id,
+                                         {refusal_reason::queue_full, retry}});
     }
     m_rejected.clear();
     while (!m_patience.empty() &&
@@ -321,4 +365,12 @@
     m_unanswered.erase({item.started_at, id});
 }
 
+void dispatcher::confirm_until(time_point started)
+{
+    while (!m_unconfirmed.empty() && m_unconfirmed.begin()->first <= started)
+    {
+        m_unconfirmed.erase(m_unconfirmed.begin());
+    }
+}
+
 } // namespace limpet::admission
--- a/libs/placement/include/limpet/placement/engine_limit.hpp
+++ b/libs/placement/include/limpet/placement/engine_limit.hpp
@@ -16,12 +16,15 @@
 {
     /// Requests that an engine bears right after its start.
     std::uint32_t cold_limit = 4;
-    /// Tokens of completed work that add one request to the limit.
+    /// Generated tokens of completed requests that add one request to the
+    /// limit.
     token_count tokens_per_slot{256};
-    /// Most requests without a first token at a time, so that an engine that
-    /// turned cold unnoticed gets no more than it bears before its slowness
-    /// shows.
-    std::uint32_t max_unanswered = 4;
+    /// Most requests in flight that started after the last one whose first
+    /// token came on time, so that an engine that turned cold unnoticed gets
+    /// no more than it bears.
+    std::uint32_t max_unconfirmed = 4;
+    /// First-token time over the expected one up to which it is on time.
+    double on_time_factor = 2;
     /// First-token time over that of an uncached prompt from which the engine
     /// counts as cold.
     double slow_factor = 3;
@@ -52,8 +55,12 @@
     /// Returns the number of requests that the engine may serve at once.
     std::uint32_t limit() const noexcept;
 
-    /// Returns the most requests that may await their first token.
-    std::uint32_t max_unanswered() const noexcept;
+    /// Returns the most requests that may be in flight since the last first
+    /// token that came on time.
+    std::uint32_t max_unconfirmed() const noexcept;
+
+    /// Returns whether the first token came as a warm engine gives it.
+    bool is_on_time(token_count uncached, duration latency) const;
 
     /// Returns the time to the first token of a prompt, by what the engine
     /// took before.
@@ -71,8 +78,13 @@
     void
     on_first_token(token_count prompt, token_count uncached, duration latency);
 
-    /// Records a completed request of so many prefilled and generated tokens.
-    void on_completed(token_count work);
+    /// Returns how often the engine was found cold.
+    std::uint32_t generation() const noexcept;
+
+    /// Records a completed request of so many generated tokens.
+    /// `generation` is that at the request's start: work from before the
+    /// engine turned cold says nothing about what it bears now.
+    void on_completed(token_count work, std::uint32_t generation);
 
     /// Records a failed request: the limit falls by half.
     void on_failed();
@@ -94,6 +106,7 @@
     /// Ratio of measured to nominal first-token times, smoothed.
     double m_pace = 1;
     std::uint64_t m_highest_cached = 0;
+    std::uint32_t m_generation = 0;
 };
 
 } // namespace limpet::placement
--- a/libs/placement/include/limpet/placement/itinerary.hpp
+++ b/libs/placement/include/limpet/placement/itinerary.hpp
@@ -18,8 +18,10 @@
     engine_index engine = 0;
     /// The owner may answer that another engine holds more of the chat.
     bool is_first = false;
-    /// No engine is left to try: the request waits here until its deadline.
+    /// No engine is left to try: the request waits here for longest_wait and
+    /// then begins another round with a new itinerary.
     bool is_last = false;
+    duration longest_wait{};
 };
 
 /// State of one request at its entry router while it looks for an engine:
@@ -48,6 +50,10 @@
     /// Returns the next stop. After the last one it returns that again.
     stop next(spare_list& spares, random_source& random, time_point now);
 
+    /// Returns the holder of the longest prefix that an owner told of, which
+    /// may be out of service but still export its cache.
+    const std::optional<chat_holder>& best_holder() const noexcept;
+
     /// Adds the holders that an owner told with its answer.
     void add_holders(const chat_holders& holders);
 
@@ -61,11 +67,12 @@
     std::shared_ptr<const chooser> m_engines;
     route m_route;
     std::size_t m_spares_left;
+    duration m_longest_wait;
     std::size_t m_tries_left;
     engine_order m_warm;
     engine_order m_tried;
     /// The engine that the directory names first.
-    std::optional<engine_id> m_known_holder;
+    std::optional<chat_holder> m_best_holder;
 };
 
 /// Returns whether one of the holders, other than the engine, holds so much
--- a/libs/placement/include/limpet/placement/load_bound.hpp
+++ b/libs/placement/include/limpet/placement/load_bound.hpp
@@ -10,10 +10,8 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <unordered_map>
-#include <utility>
 
 namespace limpet::placement
 {
@@ -43,10 +41,7 @@
     std::uint64_t epochs = 3;
     /// Time in which the load of a router without recent digests is assumed
     /// to fall to 1/e, as requests finish without new ones.
-    duration fall_time = seconds(4);
-    /// How long an engine that vanished from the list still counts, because
-    /// lists disagree for seconds.
-    duration list_hold = seconds(6);
+    duration fall_time = seconds(6);
 };
 
 /// Load of one router's engines of a model at the start of an epoch.
@@ -68,9 +63,10 @@
 public:
     explicit load_bound(load_bound_settings settings);
 
-    /// Sets the number of engines in service on the router's list. Digests
-    /// know of joins sooner, lists of routers that left: the higher counts.
-    void set_engines(std::size_t count, time_point now);
+    /// Sets the number of engines in service on the router's list. Lists
+    /// disagree for seconds, digests come from the engines' owners: the higher
+    /// number counts.
+    void set_engines(std::size_t count);
 
     /// Takes a source's digest. The source is a router, or a data centre
     /// whose sum arrives as one.
@@ -79,9 +75,9 @@
     /// Forgets a source that left.
     void forget(const vm_id& source);
 
-    /// Sets the present epoch and time. Call at least once in an epoch, and
+    /// Sets the present epoch. Call at least once in an epoch, and
     /// after the other calls.
-    void advance(load_epoch present, time_point now);
+    void advance(load_epoch present);
 
     /// Returns a lower bound of the highest true mean in flight within the
     /// last second.
@@ -106,12 +102,9 @@
     /// still to come.
     std::optional<double> mean_at(load_epoch epoch) const;
     double faded_load(const history& source, load_epoch epoch) const;
-    std::size_t listed_engines() const;
 
     load_bound_settings m_settings;
     std::unordered_map<vm_id, history> m_sources;
-    /// Numbers of engines, falling, each with the time until which it counts.
-    std::deque<std::pair<std::size_t, time_point>> m_former;
     std::size_t m_engines = 0;
     load_epoch m_present;
     double m_mean = 0;
--- a/libs/placement/include/limpet/placement/route.hpp
+++ b/libs/placement/include/limpet/placement/route.hpp
@@ -24,6 +24,9 @@
     /// Whether the first turn of a chat goes to an engine with room rather
     /// than to the chat's first rendezvous choice.
     bool spread_new_chats = true;
+    /// How long a request without room anywhere waits at one engine before it
+    /// looks again. Doubles with each round.
+    duration first_round_wait = seconds(1);
 };
 
 /// What the entry router knows about a request when it places it.
@@ -34,6 +37,8 @@
     bool returning = true;
     /// The engine that the caller's hint names.
     std::optional<engine_id> hint;
+    /// How often the request has looked for an engine before.
+    std::uint32_t round = 0;
 };
 
 /// The engines to try, in order.
--- a/libs/placement/src/engine_limit.cpp
+++ b/libs/placement/src/engine_limit.cpp
@@ -31,9 +31,15 @@
     return whole > m_foreign ? whole - m_foreign : 0;
 }
 
-std::uint32_t engine_limit::max_unanswered() const noexcept
+std::uint32_t engine_limit::max_unconfirmed() const noexcept
 {
-    return m_settings.max_unanswered;
+    return m_settings.max_unconfirmed;
+}
+
+bool engine_limit::is_on_time(token_count uncached, duration latency) const
+{
+    const double expected = to_seconds(expected_first_token(uncached));
+    return to_seconds(latency) <= m_settings.on_time_factor * expected;
 }
 
 duration engine_limit::expected_first_token(token_count uncached) const
@@ -71,8 +77,17 @@
     m_pace += pace_smoothing * (bounded - m_pace);
 }
 
-void engine_limit::on_completed(token_count work)
+std::uint32_t engine_limit::generation() const noexcept
+{
+    return m_generation;
+}
+
+void engine_limit::on_completed(token_count work, std::uint32_t generation)
 {
+    if (generation != m_generation)
+    {
+        return;
+    }
     const double gained = static_cast<double>(work.get()) /
                           static_cast<double>(m_settings.tokens_per_slot.get());
     m_limit = std::min(m_limit + gained, static_cast<double>(m_slots));
@@ -106,6 +121,7 @@
 
 void engine_limit::on_cold()
 {
+    ++m_generation;
     m_limit = std::min({m_limit,
                         static_cast<double>(m_settings.cold_limit),
                         static_cast<double>(m_slots)});
--- a/libs/placement/src/itinerary.cpp
+++ b/libs/placement/src/itinerary.cpp
@@ -12,6 +12,9 @@
 /// Prefix length from which another hop costs less than its prefill.
 constexpr std::uint64_t redirect_tokens = 64;
 
+/// Rounds over which the wait doubles.
+constexpr std::uint32_t most_doublings = 6;
+
 } // namespace
 
 itinerary::itinerary(std::shared_ptr<const chooser> engines,
@@ -21,6 +24,8 @@
     : m_engines(std::move(engines)),
       m_route(plan_route(*m_engines, request, settings, now)),
       m_spares_left(settings.spare_tries),
+      m_longest_wait(settings.first_round_wait *
+                     (1U << std::min(request.round, most_doublings))),
       m_tries_left(settings.tries)
 {
     const bool is_spread = !request.returning && settings.spread_new_chats;
@@ -45,7 +50,12 @@
 
 bool itinerary::is_news(const engine_id& served_by) const
 {
-    return m_known_holder != served_by;
+    return !m_best_holder || m_best_holder->engine != served_by;
+}
+
+const std::optional<chat_holder>& itinerary::best_holder() const noexcept
+{
+    return m_best_holder;
 }
 
 stop itinerary::next(spare_list& spares, random_source& random, time_point now)
@@ -61,17 +71,18 @@
     }
     if (!engine)
     {
-        return {is_first ? m_route.home : m_tried.front(), is_first, true};
+        const engine_index warmest = is_first ? m_route.home : m_tried.front();
+        return {warmest, is_first, true, m_longest_wait};
     }
     m_tried.push_back(*engine);
-    return {*engine, is_first, false};
+    return {*engine, is_first, false, {}};
 }
 
 void itinerary::add_holders(const chat_holders& holders)
 {
     if (!holders.empty())
     {
-        m_known_holder = holders.front().engine;
+        m_best_holder = holders.front();
     }
     m_warm = prefer_holders(*m_engines, m_warm, holders, {});
 }
--- a/libs/placement/src/load_bound.cpp
+++ b/libs/placement/src/load_bound.cpp
@@ -17,16 +17,8 @@
 {
 }
 
-void load_bound::set_engines(std::size_t count, time_point now)
+void load_bound::set_engines(std::size_t count)
 {
-    while (!m_former.empty() && m_former.back().first <= m_engines)
-    {
-        m_former.pop_back();
-    }
-    if (count < m_engines)
-    {
-        m_former.emplace_back(m_engines, now + m_settings.list_hold);
-    }
     m_engines = count;
 }
 
@@ -47,13 +39,9 @@
     m_sources.erase(source);
 }
 
-void load_bound::advance(load_epoch present, time_point now)
+void load_bound::advance(load_epoch present)
 {
     m_present = present;
-    while (!m_former.empty() && m_former.front().second <= now)
-    {
-        m_former.pop_front();
-    }
     double highest = 0;
     const std::uint64_t back = std::min(m_settings.epochs, present.get() + 1);
     for (std::uint64_t age = 0; age < back; ++age)
@@ -109,7 +97,7 @@
             reported += source.find(source.latest)->engines;
         }
     }
-    const std::size_t engines = std::max(listed_engines(), reported);
+    const std::size_t engines = std::max(m_engines, reported);
     return engines > 0 ? sum / static_cast<double>(engines) : 0;
 }
 
@@ -126,14 +114,4 @@
     return fall * static_cast<double>(last->in_flight);
 }
 
-std::size_t load_bound::listed_engines() const
-{
-    std::size_t listed = m_engines;
-    for (const auto& [engines, until] : m_former)
-    {
-        listed = std::max(listed, engines);
-    }
-    return listed;
-}
-
 } // namespace limpet::placement
