--- /dev/null
+++ b/libs/placement/test/load_bound_test.cpp
@@ -0,0 +1,165 @@
+#include <limpet/base/random.hpp>
+#include <limpet/placement/load_bound.hpp>
+#include <limpet/placement/window_minimum.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <vector>
+
+namespace
+{
+
+using namespace limpet;
+using namespace limpet::placement;
+
+struct bound_fixture
+{
+    load_bound bound{{}};
+
+    void report(const char* source,
+                std::uint64_t epoch,
+                std::uint32_t engines,
+                std::uint64_t in_flight)
+    {
+        bound.report(vm_id(source), {load_epoch(epoch), engines, in_flight});
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(load_bound_suite, bound_fixture)
+
+BOOST_AUTO_TEST_CASE(no_load_allows_one_request)
+{
+    bound.set_engines(10);
+    bound.advance(load_epoch(100));
+    BOOST_TEST(bound.bound() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(highest_complete_epoch_within_the_lag_counts)
+{
+    bound.set_engines(10);
+    for (const std::uint64_t epoch : {97U, 98U, 99U})
+    {
+        report("a", epoch, 5, epoch == 98 ? 60 : 40);
+        report("b", epoch, 5, 40);
+    }
+    // The other source's digest of this epoch is still on the way.
+    report("a", 100, 5, 500);
+    bound.advance(load_epoch(100));
+    BOOST_TEST(bound.mean() == 10.0);
+    BOOST_TEST(bound.bound() == 13U);
+    bound.advance(load_epoch(101));
+    BOOST_TEST(bound.mean() == 8.0);
+}
+
+BOOST_AUTO_TEST_CASE(engines_of_digests_and_list_count_by_the_higher_number)
+{
+    bound.set_engines(4);
+    report("a", 100, 8, 40);
+    bound.advance(load_epoch(100));
+    BOOST_TEST(bound.mean() == 5.0);
+    bound.set_engines(20);
+    bound.advance(load_epoch(100));
+    BOOST_TEST(bound.mean() == 2.0);
+}
+
+BOOST_AUTO_TEST_CASE(silent_source_fades_and_leaves_when_forgotten)
+{
+    report("a", 100, 5, 50);
+    report("b", 100, 5, 50);
+    report("a", 120, 5, 50);
+    bound.advance(load_epoch(120));
+    BOOST_TEST(bound.mean() < 8.0);
+    BOOST_TEST(bound.mean() > 5.0);
+    bound.forget(vm_id("b"));
+    bound.advance(load_epoch(120));
+    BOOST_TEST(bound.mean() == 10.0);
+}
+
+BOOST_AUTO_TEST_CASE(old_digest_does_not_replace_a_later_one)
+{
+    report("a", 100, 5, 10);
+    report("a", 92, 5, 500);
+    bound.advance(load_epoch(100));
+    BOOST_TEST(bound.mean() == 2.0);
+}
+
+/// Counts at skewed clocks never add up to more than the true highest mean.
+BOOST_AUTO_TEST_CASE(random_loads_with_skewed_clocks_keep_the_true_mean)
+{
+    constexpr std::size_t sources = 5;
+    constexpr std::uint64_t engines = 10;
+    random_source random(11);
+    std::vector<window_minimum> minimums(sources,
+                                         window_minimum(2 * load_clock_skew));
+    std::array<std::uint64_t, sources> loads{};
+    std::array<duration, sources> offsets{};
+    for (auto& offset : offsets)
+    {
+        offset = milliseconds(random.below(21)) - milliseconds(10);
+    }
+    bound.set_engines(engines);
+    std::vector<double> means;
+    for (std::int64_t tick = 1; tick < 20000; ++tick)
+    {
+        const time_point now{milliseconds(tick)};
+        const std::size_t at = random.below(sources);
+        loads[at] += random.chance(0.5) ? 1 : 0;
+        loads[at] -= loads[at] > 0 && random.chance(0.5) ? 1 : 0;
+        double sum = 0;
+        for (std::size_t source = 0; source < sources; ++source)
+        {
+            minimums[source].record(loads[source], now);
+            sum += static_cast<double>(loads[source]);
+            const duration clock = now.time_since_epoch() + offsets[source];
+            if (clock % load_epoch_length == load_clock_skew)
+            {
+                report(std::to_string(source).c_str(),
+                       epoch_of(clock).get(),
+                       2,
+                       minimums[source].lowest(now));
+            }
+        }
+        means.push_back(sum / engines);
+        bound.advance(epoch_of(now.time_since_epoch()));
+        const auto from =
+            means.end() - std::min<std::ptrdiff_t>(1000, std::ssize(means));
+        BOOST_REQUIRE(bound.mean() <= *std::max_element(from, means.end()));
+    }
+    BOOST_TEST(bound.mean() > 0.0);
+}
+
+BOOST_AUTO_TEST_CASE(window_minimum_of_random_values_equals_the_true_one)
+{
+    constexpr std::int64_t window = 50;
+    window_minimum lowest{milliseconds(window)};
+    random_source random(13);
+    std::vector<std::uint64_t> held;
+    std::uint64_t value = 5;
+    for (std::int64_t tick = 0; tick < 5000; ++tick)
+    {
+        const time_point now{milliseconds(tick)};
+        if (random.chance(0.2))
+        {
+            value = random.below(20);
+            lowest.record(value, now);
+        }
+        else if (tick == 0)
+        {
+            lowest.record(value, now);
+        }
+        held.push_back(value);
+        if (tick >= window)
+        {
+            const auto from = held.end() - window - 1;
+            BOOST_REQUIRE(lowest.lowest(now) ==
+                          *std::min_element(from, held.end()));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
