--- a/cmake/limpet.cmake
+++ b/cmake/limpet.cmake
@@ -19,6 +19,9 @@
     BOOST_ASIO_SEPARATE_COMPILATION
     BOOST_BEAST_SEPARATE_COMPILATION
     BOOST_ASIO_NO_DEPRECATED)
+# GCC 12 takes the deallocation of coroutine frames for a mismatched one.
+target_compile_options(limpet_options INTERFACE
+    $<$<CXX_COMPILER_ID:GNU>:-Wno-mismatched-new-delete>)
 # Debug information doubles the build time of the Asio and Beast parts, so
 # only line tables are kept.
 target_compile_options(limpet_options INTERFACE -g1)
@@ -42,6 +45,10 @@
     file(GLOB sources CONFIGURE_DEPENDS src/*.cpp)
     add_library(limpet_${name} STATIC ${sources})
     target_include_directories(limpet_${name} PUBLIC include PRIVATE src)
+    # Code generated from schema/ by scripts/generate.
+    if(EXISTS ${CMAKE_CURRENT_SOURCE_DIR}/generated)
+        target_include_directories(limpet_${name} PRIVATE generated)
+    endif()
     target_link_libraries(limpet_${name} PUBLIC limpet_options)
     foreach(dep ${ARG_DEPS})
         target_link_libraries(limpet_${name} PUBLIC ${dep})
