HTTP: cancellable sends, bounded bodies in total, damaged input

Cause: a request whose caller leaves before the answer's head could not be ended; ten thousand bodies of the largest size would have fitted the limits; refusing a connection at once could destroy the refusal.

A send takes a canceller. All bodies that a server keeps are bounded together. Connections beyond the limit are refused with an answer, at most 64 at a time. Random damage to requests and answers is tried with a fixed seed.

--- a/libs/http/include/limpet/http/client.hpp
+++ b/libs/http/include/limpet/http/client.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -64,6 +65,22 @@
     virtual void cancel() = 0;
 };
 
+/// Ends a send that has not returned yet. Used on the executor of the sender
+/// and must outlive the send.
+class send_canceller
+{
+public:
+    /// Lets the send return error_code::cancelled. A send that begins later
+    /// returns it at once, and its request has not reached the server.
+    void cancel();
+
+private:
+    friend class cancel_scope;
+
+    std::function<void()> m_call;
+    bool m_cancelled = false;
+};
+
 /// Sends requests. Safe to use by several coroutines of several threads, all
 /// of one io_context.
 class client
@@ -81,7 +98,8 @@
         std::variant<std::unique_ptr<response_stream>, request_failure>>
     send(boost::asio::ip::tcp::endpoint server,
          request message,
-         duration head_timeout) = 0;
+         duration head_timeout,
+         send_canceller* canceller = nullptr) = 0;
 
     /// Sends the request and reads the whole answer, at most max_body bytes.
     boost::asio::awaitable<std::variant<response, request_failure>>
--- a/libs/http/include/limpet/http/server.hpp
+++ b/libs/http/include/limpet/http/server.hpp
@@ -24,6 +24,8 @@
 {
     std::size_t header_bytes = 16UL * 1024;
     std::size_t body_bytes = 4UL * 1024 * 1024;
+    /// All bodies that are kept at one time.
+    std::size_t total_body_bytes = 256UL * 1024 * 1024;
     std::size_t connections = 10000;
     /// Time for a request to arrive whole.
     duration receive_timeout = seconds(10);
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -40,6 +40,62 @@
     return text;
 }
 
+} // namespace
+
+/// Connects a canceller to the answer that is being waited for.
+class cancel_scope
+{
+public:
+    explicit cancel_scope(send_canceller* canceller)
+        : m_canceller(canceller)
+    {
+    }
+
+    cancel_scope(const cancel_scope&) = delete;
+    cancel_scope& operator=(const cancel_scope&) = delete;
+
+    ~cancel_scope()
+    {
+        set(nullptr);
+    }
+
+    void set(received_response* stream)
+    {
+        if (m_canceller == nullptr)
+        {
+            return;
+        }
+        m_canceller->m_call = nullptr;
+        if (stream != nullptr)
+        {
+            m_canceller->m_call = [stream]
+            {
+                stream->cancel();
+            };
+        }
+    }
+
+    bool is_cancelled() const
+    {
+        return m_canceller != nullptr && m_canceller->m_cancelled;
+    }
+
+private:
+    send_canceller* m_canceller;
+};
+
+void send_canceller::cancel()
+{
+    m_cancelled = true;
+    if (m_call)
+    {
+        m_call();
+    }
+}
+
+namespace
+{
+
 class pooling_client : public client
 {
 public:
@@ -48,50 +104,54 @@
     {
     }
 
-    boost::asio::awaitable<send_result>
-    send(tcp::endpoint server, request message, duration head_timeout) override
+    boost::asio::awaitable<send_result> send(tcp::endpoint server,
+                                             request message,
+                                             duration head_timeout,
+                                             send_canceller* canceller) override
     {
         const std::string head = head_of(message, server);
         const bool head_only = message.method == "HEAD";
-        while (std::optional<tcp::socket> kept = m_pool->take(server))
+        const auto executor = co_await boost::asio::this_coro::executor;
+        cancel_scope scope(canceller);
+        std::optional<tcp::socket> kept = m_pool->take(server);
+        for (;;)
         {
-            auto stream = co_await start(std::move(*kept), server, head_only);
-            auto failure =
-                co_await stream->send(head, message.body, head_timeout);
+            if (scope.is_cancelled())
+            {
+                co_return request_failure{
+                    {error_code::cancelled, "the send was cancelled"}, false};
+            }
+            const bool is_new = !kept;
+            tcp::socket socket =
+                kept ? std::move(*kept) : tcp::socket(executor);
+            auto stream = std::make_unique<received_response>(
+                m_pool, server, std::move(socket), executor, head_only);
+            scope.set(stream.get());
+            std::optional<request_failure> failure;
+            if (is_new)
+            {
+                failure = co_await stream->connect();
+            }
+            if (!failure)
+            {
+                failure =
+                    co_await stream->send(head, message.body, head_timeout);
+            }
+            scope.set(nullptr);
             if (!failure)
             {
                 co_return std::unique_ptr<response_stream>(std::move(stream));
             }
-            if (failure->may_have_reached_server ||
-                failure->reason.code == error_code::cancelled)
+            // A kept connection may have been closed by the server.
+            if (is_new || failure->may_have_reached_server)
             {
                 co_return std::move(*failure);
             }
+            kept = m_pool->take(server);
         }
-        const auto executor = co_await boost::asio::this_coro::executor;
-        auto stream = std::make_unique<received_response>(
-            m_pool, server, tcp::socket(executor), executor, head_only);
-        auto failure = co_await stream->connect();
-        if (!failure)
-        {
-            failure = co_await stream->send(head, message.body, head_timeout);
-        }
-        if (failure)
-        {
-            co_return std::move(*failure);
-        }
-        co_return std::unique_ptr<response_stream>(std::move(stream));
     }
 
 private:
-    boost::asio::awaitable<std::unique_ptr<received_response>>
-    start(tcp::socket socket, tcp::endpoint server, bool head_only)
-    {
-        const auto executor = co_await boost::asio::this_coro::executor;
-        co_return std::make_unique<received_response>(
-            m_pool, server, std::move(socket), executor, head_only);
-    }
-
     std::shared_ptr<connection_pool> m_pool;
 };
 
--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -86,6 +86,7 @@
 
 connection::~connection()
 {
+    release_body();
     m_core->remove(this);
 }
 
@@ -114,16 +115,14 @@
     close();
 }
 
-void connection::refuse_now()
+boost::asio::awaitable<void> connection::run_refusal()
 {
     prepare(m_socket);
-    const response answer =
-        m_core->make_refusal(503, "there are too many connections");
-    m_keep_alive = false;
-    const std::string text = head_of(answer) + answer.body;
-    boost::system::error_code ignored;
-    m_socket.write_some(boost::asio::buffer(text), ignored);
+    const receive_failure failure{503, "there are too many connections"};
+    co_await refuse(failure);
+    co_await close_after_answer();
     close();
+    m_core->end_refusal();
 }
 
 void connection::post_close()
@@ -195,6 +194,11 @@
             const unsigned status = status_of(failure);
             co_return receive_failure{status, reason_of(status)};
         }
+        if (!keep_body(parser.get().body().size()))
+        {
+            co_return receive_failure{503,
+                                      "too many bodies are being received"};
+        }
         if (parser.is_done())
         {
             break;
@@ -261,6 +265,7 @@
     }
     --m_core->open_requests;
     m_request = {};
+    release_body();
 }
 
 boost::asio::awaitable<void> connection::refuse(receive_failure failure)
@@ -444,6 +449,24 @@
     }
 }
 
+bool connection::keep_body(std::size_t size)
+{
+    if (size > m_body_bytes)
+    {
+        if (!m_core->reserve_body(size - m_body_bytes))
+        {
+            return false;
+        }
+        m_body_bytes = size;
+    }
+    return true;
+}
+
+void connection::release_body()
+{
+    m_core->release_body(std::exchange(m_body_bytes, 0));
+}
+
 void connection::release_spare_memory()
 {
     if (m_buffer.size() == 0)
--- a/libs/http/src/connection.hpp
+++ b/libs/http/src/connection.hpp
@@ -40,7 +40,7 @@
 
     /// Answers that there are too many connections and closes. In place of
     /// run.
-    void refuse_now();
+    boost::asio::awaitable<void> run_refusal();
 
     /// Closes the socket. Thread-safe.
     void post_close();
@@ -84,6 +84,8 @@
     status state_error(std::string_view reason) const;
     std::string head_of(const response& answer) const;
     void append_connection_field(std::string& text) const;
+    bool keep_body(std::size_t size);
+    void release_body();
     void release_spare_memory();
     void watch_caller();
     void on_readable();
@@ -97,6 +99,7 @@
     request m_request;
     std::function<void()> m_on_gone;
     answer_state m_answer = answer_state::none;
+    std::size_t m_body_bytes = 0;
     bool m_idle = true;
     bool m_keep_alive = true;
     bool m_chunked = true;
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -110,18 +110,33 @@
             std::make_shared<connection>(std::move(socket), m_core);
         if (!m_core->add(item))
         {
-            item->refuse_now();
+            refuse(item);
             return;
         }
         boost::asio::co_spawn(
             item->executor(), run(item), boost::asio::detached);
     }
 
+    void refuse(const std::shared_ptr<connection>& item)
+    {
+        if (m_core->begin_refusal())
+        {
+            boost::asio::co_spawn(
+                item->executor(), run_refusal(item), boost::asio::detached);
+        }
+    }
+
     static boost::asio::awaitable<void> run(std::shared_ptr<connection> item)
     {
         co_await item->run();
     }
 
+    static boost::asio::awaitable<void>
+    run_refusal(std::shared_ptr<connection> item)
+    {
+        co_await item->run_refusal();
+    }
+
     boost::asio::io_context& m_context;
     std::shared_ptr<server_core> m_core;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/libs/http/src/server_core.cpp
+++ b/libs/http/src/server_core.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+constexpr std::size_t most_refusals = 64;
+
 response plain_refusal(unsigned status, std::string_view reason)
 {
     response answer;
@@ -73,6 +75,36 @@
     }
 }
 
+bool server_core::reserve_body(std::size_t bytes)
+{
+    if (m_body_bytes.fetch_add(bytes) + bytes <= limits.total_body_bytes)
+    {
+        return true;
+    }
+    release_body(bytes);
+    return false;
+}
+
+void server_core::release_body(std::size_t bytes)
+{
+    m_body_bytes -= bytes;
+}
+
+bool server_core::begin_refusal()
+{
+    if (++m_refusals <= most_refusals)
+    {
+        return true;
+    }
+    end_refusal();
+    return false;
+}
+
+void server_core::end_refusal()
+{
+    --m_refusals;
+}
+
 std::vector<std::shared_ptr<connection>> server_core::all() const
 {
     const std::lock_guard lock(m_mutex);
--- a/libs/http/src/server_core.hpp
+++ b/libs/http/src/server_core.hpp
@@ -39,6 +39,15 @@
     /// Closes all connections.
     void close_all();
 
+    /// Takes room for bytes of a body, if there is any left.
+    bool reserve_body(std::size_t bytes);
+    void release_body(std::size_t bytes);
+
+    /// Takes one of the few places for connections that are refused with an
+    /// answer.
+    bool begin_refusal();
+    void end_refusal();
+
     const server_limits limits;
     const server::handler handle;
     std::atomic<bool> stopping = false;
@@ -49,6 +58,8 @@
     std::vector<std::shared_ptr<connection>> all() const;
 
     const server::refusal m_refuse;
+    std::atomic<std::size_t> m_body_bytes = 0;
+    std::atomic<std::size_t> m_refusals = 0;
     mutable std::mutex m_mutex;
     std::unordered_map<const connection*, std::weak_ptr<connection>> m_open;
 };
--- a/libs/http/test/client_test.cpp
+++ b/libs/http/test/client_test.cpp
@@ -21,11 +21,14 @@
     {
     }
 
-    void answer_next(std::string bytes)
+    /// The future is ready once the connection is closed.
+    std::future<void> answer_next(std::string bytes)
     {
+        const auto closed = std::make_shared<std::promise<void>>();
         acceptor.async_accept(
-            [bytes = std::move(bytes)](boost::system::error_code failure,
-                                       boost::asio::ip::tcp::socket socket)
+            [bytes = std::move(bytes),
+             closed](boost::system::error_code failure,
+                     boost::asio::ip::tcp::socket socket)
             {
                 if (failure)
                 {
@@ -37,7 +40,10 @@
                                         "\r\n\r\n",
                                         failure);
                 boost::asio::write(socket, boost::asio::buffer(bytes), failure);
+                socket.close();
+                closed->set_value();
             });
+        return closed->get_future();
     }
 
     boost::asio::ip::tcp::acceptor acceptor;
@@ -77,6 +83,48 @@
      true},
 };
 
+using send_result =
+    std::variant<std::unique_ptr<response_stream>, request_failure>;
+
+/// A send that is cancelled before it begins or once the server has it.
+struct cancelled_send
+{
+    explicit cancelled_send(boost::asio::io_context& context)
+        : strand(boost::asio::make_strand(context))
+    {
+    }
+
+    boost::asio::awaitable<void> take_request(exchange& call)
+    {
+        boost::asio::post(strand,
+                          [this]
+                          {
+                              canceller.cancel();
+                          });
+        const auto executor = co_await boost::asio::this_coro::executor;
+        boost::asio::steady_timer never(executor);
+        never.expires_at(boost::asio::steady_timer::time_point::max());
+        call.on_caller_gone(
+            [&never]
+            {
+                never.cancel();
+            });
+        co_await never.async_wait(
+            boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+
+    boost::asio::awaitable<send_result> send(loopback& fixture)
+    {
+        request message = make_request("GET", "/");
+        send_result result = co_await fixture.caller->send(
+            fixture.endpoint, std::move(message), seconds(10), &canceller);
+        co_return result;
+    }
+
+    boost::asio::any_io_executor strand;
+    send_canceller canceller;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(client_suite, loopback)
@@ -89,7 +137,7 @@
     {
         BOOST_TEST_CONTEXT(item.bytes.substr(0, 80))
         {
-            peer.answer_next(item.bytes);
+            auto closed = peer.answer_next(item.bytes);
             const auto result = fetch(make_request("GET", "/"));
             const auto* failure = std::get_if<request_failure>(&result);
             BOOST_TEST((failure != nullptr) == item.fails);
@@ -99,10 +147,52 @@
             BOOST_TEST(text.substr(0, item.result.size()) == item.result);
             BOOST_TEST(
                 (failure == nullptr || failure->may_have_reached_server));
+            closed.get();
         }
     }
 }
 
+BOOST_AUTO_TEST_CASE(client_random_damage_gives_whole_answer_or_error)
+{
+    scripted_server peer(context);
+    endpoint = peer.acceptor.local_endpoint();
+    const std::string whole =
+        head + "Transfer-Encoding: chunked\r\n\r\n"
+               "2\r\nok\r\n1;ext=1\r\n!\r\n0\r\nTrailer: x\r\n\r\n";
+    random_source random(1);
+    for (int i = 0; i < 300; ++i)
+    {
+        const std::string bytes = damaged(whole, random);
+        auto closed = peer.answer_next(bytes);
+        const auto result = fetch(make_request("GET", "/"));
+        const auto* failure = std::get_if<request_failure>(&result);
+        const bool in_time =
+            failure == nullptr || failure->reason.code != error_code::timeout;
+        BOOST_TEST(in_time, bytes);
+        closed.get();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(client_cancelled_send_says_whether_it_reached_server)
+{
+    cancelled_send item(context);
+    serve(
+        [&item](exchange& call)
+        {
+            return item.take_request(call);
+        });
+    for (const bool reached : {true, false})
+    {
+        const auto result = boost::asio::co_spawn(item.strand,
+                                                  item.send(*this),
+                                                  boost::asio::use_future)
+                                .get();
+        const auto& failure = std::get<request_failure>(result);
+        BOOST_TEST((failure.reason.code == error_code::cancelled));
+        BOOST_TEST(failure.may_have_reached_server == reached);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(client_refused_connection_has_not_reached_server)
 {
     scripted_server peer(context);
@@ -119,9 +209,10 @@
     const std::string bytes = head + "Content-Length: 2\r\n\r\nok";
     for (int i = 0; i < 3; ++i)
     {
-        peer.answer_next(bytes);
+        auto closed = peer.answer_next(bytes);
         const auto result = fetch(make_request("POST", "/", "x"));
         BOOST_TEST(std::holds_alternative<response>(result));
+        closed.get();
     }
 }
 
--- a/libs/http/test/loopback.hpp
+++ b/libs/http/test/loopback.hpp
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <limpet/base/random.hpp>
 #include <limpet/http/client.hpp>
 #include <limpet/http/server.hpp>
 
@@ -10,6 +11,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -112,6 +114,32 @@
     std::shared_ptr<client> caller = client::create({});
 };
 
+/// Returns the text with a few bytes changed, removed or repeated, or cut.
+inline std::string damaged(std::string text, random_source& random)
+{
+    for (std::uint64_t changes = 1 + random.below(3); changes > 0; --changes)
+    {
+        const std::size_t place = random.below(text.size());
+        switch (random.below(4))
+        {
+        case 0:
+            text[place] = static_cast<char>(random.below(256));
+            break;
+        case 1:
+            text.erase(place, 1 + random.below(4));
+            break;
+        case 2:
+            text.insert(place, text.substr(place, 1 + random.below(16)));
+            break;
+        default:
+            text.resize(place + 1);
+            break;
+        }
+        text += text.empty() ? "x" : "";
+    }
+    return text;
+}
+
 inline request
 make_request(std::string method, std::string target, std::string body = {})
 {
--- a/libs/http/test/server_test.cpp
+++ b/libs/http/test/server_test.cpp
@@ -207,6 +207,74 @@
     BOOST_TEST(answer.find("Connection: close") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(server_slow_or_silent_caller_is_closed)
+{
+    server_limits limits;
+    limits.receive_timeout = milliseconds(20);
+    limits.idle_timeout = milliseconds(20);
+    serve(echo, limits);
+    for (const char* bytes : {"", "G", "POST / HTTP/1.1\r\nContent-Length: 3"})
+    {
+        BOOST_TEST(exchange_raw(bytes) == "");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(server_caller_that_does_not_read_stops_the_writer)
+{
+    server_limits limits;
+    limits.write_timeout = milliseconds(20);
+    const auto ended = std::make_shared<std::promise<error_code>>();
+    serve(
+        [=](exchange& call) -> boost::asio::awaitable<void>
+        {
+            const std::string part(65536, 'x');
+            response_head head;
+            status sent = co_await call.begin_stream(std::move(head));
+            while (is_ok(sent))
+            {
+                sent = co_await call.write(part);
+            }
+            ended->set_value(error_of(sent).code);
+        },
+        limits);
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect(endpoint);
+    boost::asio::write(socket,
+                       boost::asio::buffer("GET / HTTP/1.1\r\n\r\n", 18));
+    BOOST_TEST((ended->get_future().get() == error_code::timeout));
+}
+
+BOOST_AUTO_TEST_CASE(server_bodies_beyond_the_total_are_refused)
+{
+    server_limits limits;
+    limits.total_body_bytes = 1000;
+    serve(echo, limits);
+    for (const std::size_t size : {1000U, 1001U, 1000U})
+    {
+        const auto result =
+            fetch(make_request("POST", "/", std::string(size, 'x')));
+        const unsigned expected = size > 1000 ? 503 : 200;
+        BOOST_TEST(std::get<response>(result).head.status == expected);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(server_random_damage_harms_no_other_request)
+{
+    serve(echo);
+    const std::string whole = "POST /a HTTP/1.1\r\nHost: h\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n"
+                              "5\r\nhello\r\n0\r\n\r\n";
+    random_source random(1);
+    for (int i = 0; i < 300; ++i)
+    {
+        const std::string bytes = damaged(whole, random);
+        const std::string answer = exchange_raw(bytes, true);
+        BOOST_TEST((answer.empty() || answer.starts_with("HTTP/1.1 ")), bytes);
+    }
+    const auto result = fetch(make_request("POST", "/", "still"));
+    BOOST_TEST(std::get<response>(result).body == "POST still");
+}
+
 BOOST_AUTO_TEST_CASE(server_beyond_connection_limit_refuses)
 {
     server_limits limits;
