--- a/libs/http/include/limpet/http/client.hpp
+++ b/libs/http/include/limpet/http/client.hpp
@@ -82,7 +82,7 @@
 };
 
 /// Sends requests. Safe to use by several coroutines of several threads, all
-/// of one io_context.
+/// of one io_context, which must outlive the client: it keeps connections.
 class client
 {
 public:
--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -20,7 +20,7 @@
 /// A caller that sends further requests early waits once they fill this much.
 constexpr std::size_t early_bytes = 16UL * 1024;
 /// Most bytes taken from a caller that still sends after a refusal.
-constexpr std::size_t linger_bytes = 1024UL * 1024;
+constexpr std::size_t linger_bytes = 16UL * 1024 * 1024;
 constexpr duration linger_timeout = seconds(2);
 
 using request_parser = boost::beast::http::request_parser<text_body>;
