A key whose holder was lost is answered at once

Cause: the fleet test hung after a router was killed. An alert whose entry router died kept its key in progress, and each resend waited for its whole deadline of 30 s, 40 times over. Ruled out: the owner and the links, since the waiting coroutine stood in the claim's poll.

Change: request ids name the process that drew them. A request that finds its key held by a process that is no longer a member gets the final answer 'unknown' at once; a wait for a living holder ends after 5 s with the time to come back.

Conclusion: a lost outcome is told, not waited for.

--- a/libs/pipeline/src/claim_guard.cpp
+++ b/libs/pipeline/src/claim_guard.cpp
@@ -1,5 +1,6 @@
 #include "claim_guard.hpp"
 
+#include "request_ids.hpp"
 #include "wait_for.hpp"
 
 #include <limpet/base/hash.hpp>
@@ -17,6 +18,8 @@
 
 /// Longest time that a caller waits for the control group.
 constexpr duration claim_patience = seconds(5);
+/// Longest time that a caller waits for another request's outcome.
+constexpr duration outcome_patience = seconds(5);
 /// Time between two questions whether another request has ended.
 constexpr duration poll_period = milliseconds(200);
 /// Longest time in which an outcome is recorded.
@@ -41,6 +44,14 @@
             no_quorum_retry};
 }
 
+refusal outcome_lost()
+{
+    return {{error_code::conflict,
+             "a request with this key ran with an unknown outcome"},
+            run_outcome::unknown,
+            {}};
+}
+
 refusal still_running()
 {
     return {
@@ -52,9 +63,11 @@
 } // namespace
 
 claim_guard::claim_guard(request_context& context,
-                         std::shared_ptr<claims_client> client)
+                         std::shared_ptr<claims_client> client,
+                         std::shared_ptr<fleet> members)
     : m_context(context),
       m_client(std::move(client)),
+      m_members(std::move(members)),
       m_holder(context.id)
 {
 }
@@ -67,6 +80,8 @@
     }
     const claims::claim_command command =
         make(claims::claim{fingerprint_of(m_context.forwarded)});
+    const time_point last_poll =
+        std::min(m_context.deadline, monotonic_clock::now() + outcome_patience);
     for (;;)
     {
         const time_point now = monotonic_clock::now();
@@ -79,13 +94,18 @@
             m_claimed = true;
             co_return no_quorum(error_of(answer).message);
         }
-        if (!std::holds_alternative<claims::in_progress>(value_of(answer)))
+        const auto* other = std::get_if<claims::in_progress>(&value_of(answer));
+        if (other == nullptr)
         {
             m_claimed =
                 std::holds_alternative<claims::granted>(value_of(answer));
             co_return decide(value_of(answer));
         }
-        if (monotonic_clock::now() + poll_period >= m_context.deadline)
+        if (!is_drawer_alive(other->holder, *m_members->view()))
+        {
+            co_return outcome_lost();
+        }
+        if (monotonic_clock::now() + poll_period >= last_poll)
         {
             co_return still_running();
         }
@@ -145,10 +165,7 @@
         {
             return recorded_answer{ended->result};
         }
-        return refusal{{error_code::conflict,
-                        "a request with this key ran with an unknown outcome"},
-                       run_outcome::unknown,
-                       {}};
+        return outcome_lost();
     }
     if (const auto* no = std::get_if<claims::refused>(&answer))
     {
--- a/libs/pipeline/src/claim_guard.hpp
+++ b/libs/pipeline/src/claim_guard.hpp
@@ -5,6 +5,7 @@
 
 #include "answer_writer.hpp"
 #include "claims_client.hpp"
+#include "fleet.hpp"
 #include "request_context.hpp"
 
 #include <memory>
@@ -32,10 +33,12 @@
 {
 public:
     claim_guard(request_context& context,
-                std::shared_ptr<claims_client> client);
+                std::shared_ptr<claims_client> client,
+                std::shared_ptr<fleet> members);
 
     /// Asks for the right to run. While another request holds the key, waits
-    /// for its outcome.
+    /// a while for its outcome; if that request's router was lost, the outcome
+    /// is unknown for good.
     boost::asio::awaitable<claim_decision> claim();
 
     /// Records the answer of a request that has run, or gives the right up if
@@ -50,6 +53,7 @@
 
     request_context& m_context;
     std::shared_ptr<claims_client> m_client;
+    std::shared_ptr<fleet> m_members;
     request_id m_holder;
     bool m_claimed = false;
 };
--- a/libs/pipeline/src/entry_service.cpp
+++ b/libs/pipeline/src/entry_service.cpp
@@ -3,7 +3,6 @@
 #include "answers.hpp"
 #include "claim_guard.hpp"
 #include "headers.hpp"
-#include "request_ids.hpp"
 #include "wait_for.hpp"
 
 #include <limpet/base/log.hpp>
@@ -67,6 +66,7 @@
 
 entry_service::entry_service(entry_parts parts)
     : m_parts(std::move(parts)),
+      m_ids(m_parts.hub->self().vm, m_parts.hub->self().start),
       m_open(std::make_shared<open_requests>()),
       m_budget(retry_ratio, retry_burst),
       m_random(std::random_device{}())
@@ -78,7 +78,7 @@
 net::awaitable<void> entry_service::handle(http::exchange& caller)
 {
     ++m_open_count;
-    request_context context(caller, make_request_id());
+    request_context context(caller, m_ids.next());
     context.received_at = monotonic_clock::now();
     context.config = m_parts.config();
     co_await run(context);
@@ -129,7 +129,7 @@
         co_await refuse(context, *why);
         co_return;
     }
-    claim_guard claim(context, m_parts.claims);
+    claim_guard claim(context, m_parts.claims, m_parts.members);
     const claim_decision decision = co_await claim.claim();
     if (const auto* before = std::get_if<recorded_answer>(&decision))
     {
--- a/libs/pipeline/src/entry_service.hpp
+++ b/libs/pipeline/src/entry_service.hpp
@@ -7,6 +7,7 @@
 #include "claims_client.hpp"
 #include "filters.hpp"
 #include "fleet.hpp"
+#include "request_ids.hpp"
 #include "request_metrics.hpp"
 #include "routing_table.hpp"
 
@@ -85,6 +86,7 @@
     void log_end(const request_context& context) const;
 
     entry_parts m_parts;
+    request_id_source m_ids;
     std::vector<filter> m_filters;
     std::shared_ptr<open_requests> m_open;
     attempt_registry m_registry;
--- a/libs/pipeline/src/request_ids.cpp
+++ b/libs/pipeline/src/request_ids.cpp
@@ -2,11 +2,7 @@
 
 #include <limpet/base/units.hpp>
 
-#include <array>
-#include <atomic>
 #include <chrono>
-#include <cstdio>
-#include <random>
 
 namespace limpet::pipeline
 {
@@ -14,26 +10,40 @@
 namespace
 {
 
-std::uint64_t draw_process_number()
+/// Stands between the parts of an id. VM names do not end with a number
+/// between two of them.
+constexpr char separator = '~';
+
+} // namespace
+
+request_id_source::request_id_source(const vm_id& self, incarnation started)
+    : m_prefix(self.get() + separator + std::to_string(started.get()) +
+               separator)
 {
-    std::random_device device;
-    constexpr unsigned half_bits = 32;
-    return (static_cast<std::uint64_t>(device()) << half_bits) | device();
 }
 
-} // namespace
+request_id request_id_source::next()
+{
+    return request_id(m_prefix + std::to_string(m_next++));
+}
 
-request_id make_request_id()
+bool is_drawer_alive(const request_id& id, const membership::view& routers)
 {
-    static const std::uint64_t process = draw_process_number();
-    static std::atomic<std::uint64_t> next{1};
-    std::array<char, 48> text{};
-    std::snprintf(text.data(),
-                  text.size(),
-                  "%016llx-%llx",
-                  static_cast<unsigned long long>(process),
-                  static_cast<unsigned long long>(next++));
-    return request_id(text.data());
+    const std::string& text = id.get();
+    const std::size_t second = text.rfind(separator);
+    if (second == std::string::npos || second == 0)
+    {
+        return true;
+    }
+    const std::size_t first = text.rfind(separator, second - 1);
+    if (first == std::string::npos)
+    {
+        return true;
+    }
+    const auto* router = routers.find_router(vm_id(text.substr(0, first)));
+    const std::string started = text.substr(first + 1, second - first - 1);
+    return router != nullptr &&
+           std::to_string(router->started.get()) == started;
 }
 
 incarnation make_incarnation()
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -223,7 +223,7 @@
             for name in self.replicas:
                 status, answer = self._submit_at(name, command)
                 if status == 200:
-                    self.revision = answer["accepted"]["revision"]
+                    self.revision = answer["revision"]
                     return self.revision
                 if status not in (0, 503):
                     raise AssertionError(f"{command}: {status} {answer}")
