--- a/libs/local_fleet/include/limpet/local_fleet/local_fleet.hpp
+++ b/libs/local_fleet/include/limpet/local_fleet/fleet.hpp
@@ -32,15 +32,14 @@
 /// over the loopback interface. Each router has a thread of its own. The
 /// engine "e1" stands in the last router's data centre, so that requests to
 /// the first router cross an internal hop.
-class local_fleet
+class fleet
 {
 public:
     /// Starts everything and waits until a chat is answered. Errors: io_error,
     /// timeout.
-    static outcome<std::unique_ptr<local_fleet>>
-    start(const fleet_options& options);
+    static outcome<std::unique_ptr<fleet>> start(const fleet_options& options);
 
-    virtual ~local_fleet() = default;
+    virtual ~fleet() = default;
 
     /// Returns the address for callers of a router.
     virtual boost::asio::ip::tcp::endpoint
--- a/libs/local_fleet/src/local_fleet.cpp
+++ b/libs/local_fleet/src/fleet.cpp
@@ -5,7 +5,7 @@
 #include <limpet/config/sha256.hpp>
 #include <limpet/control/control_server.hpp>
 #include <limpet/http/endpoint.hpp>
-#include <limpet/local_fleet/local_fleet.hpp>
+#include <limpet/local_fleet/fleet.hpp>
 #include <limpet/pipeline/router.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -27,6 +27,7 @@
 
 constexpr std::string_view operator_token = "local-operator-token";
 constexpr duration start_limit = seconds(30);
+constexpr unsigned most_start_tries = 5;
 constexpr duration start_poll = milliseconds(20);
 constexpr duration answer_limit = seconds(60);
 constexpr std::size_t most_answer_bytes = 64UL * 1024 * 1024;
@@ -112,7 +113,7 @@
     std::unique_ptr<pipeline::router> process;
 };
 
-class running_fleet : public local_fleet
+class running_fleet : public fleet
 {
 public:
     explicit running_fleet(const fleet_options& options)
@@ -238,7 +239,7 @@
         }
         for (const membership::peer& self : peers)
         {
-            const status opened = open_router(self, peers);
+            status opened = open_router(self, peers);
             if (!is_ok(opened))
             {
                 return opened;
@@ -319,7 +320,7 @@
                 {"operation", "local-" + std::to_string(++number)},
                 {"expected_revision", 0},
                 {"put", object}});
-            const status done =
+            status done =
                 repeat_until_ok(m_control->operators(), message, until);
             if (!is_ok(done))
             {
@@ -395,16 +396,24 @@
 
 } // namespace
 
-outcome<std::unique_ptr<local_fleet>>
-local_fleet::start(const fleet_options& options)
+outcome<std::unique_ptr<fleet>> fleet::start(const fleet_options& options)
 {
-    auto started = std::make_unique<running_fleet>(options);
-    const status opened = started->open();
-    if (!is_ok(opened))
+    status opened = success();
+    for (unsigned tries = 0; tries < most_start_tries; ++tries)
     {
-        return error_of(opened);
+        auto started = std::make_unique<running_fleet>(options);
+        opened = started->open();
+        if (is_ok(opened))
+        {
+            return std::unique_ptr<fleet>(std::move(started));
+        }
+        // A port found free may have been taken since.
+        if (error_of(opened).code != error_code::io_error)
+        {
+            break;
+        }
     }
-    return std::unique_ptr<local_fleet>(std::move(started));
+    return error_of(opened);
 }
 
 http::request make_chat(const std::string& chat, bool stream)
--- a/libs/local_fleet/test/caller_contract_test.cpp
+++ b/libs/local_fleet/test/caller_contract_test.cpp
@@ -1,4 +1,4 @@
-#include <limpet/local_fleet/local_fleet.hpp>
+#include <limpet/local_fleet/fleet.hpp>
 
 #include <boost/test/unit_test.hpp>
 
@@ -25,7 +25,7 @@
             options.engine.token_delay = duration::zero();
             options.engine.answer_tokens = 6;
             options.engine.slots = 32;
-            auto started = local_fleet::local_fleet::start(options);
+            auto started = local_fleet::fleet::start(options);
             if (!is_ok(started))
             {
                 BOOST_FAIL(error_of(started).message);
@@ -49,10 +49,10 @@
         return std::get<http::response>(result);
     }
 
-    static std::unique_ptr<local_fleet::local_fleet> shared;
+    static std::unique_ptr<local_fleet::fleet> shared;
 };
 
-std::unique_ptr<local_fleet::local_fleet> fleet_fixture::shared;
+std::unique_ptr<local_fleet::fleet> fleet_fixture::shared;
 
 struct end_fleet
 {
