--- a/libs/consensus/src/fake_group.cpp
+++ b/libs/consensus/src/fake_group.cpp
@@ -22,11 +22,13 @@
 /// One VM: its disk stays, its process comes and goes.
 struct fake_group::vm_state
 {
-    explicit vm_state(std::uint64_t seed)
-        : disk(seed)
+    vm_state(vm_id vm, std::uint64_t seed)
+        : name(std::move(vm)),
+          disk(seed)
     {
     }
 
+    vm_id name;
     storage::testing::fake_disk disk;
     std::unique_ptr<storage::log_store> store;
     std::unique_ptr<consensus::node> node;
@@ -52,7 +54,8 @@
 {
     for (std::size_t vm = 0; vm < options.vms; ++vm)
     {
-        m_vms.push_back(std::make_unique<vm_state>(m_random.next()));
+        m_vms.push_back(
+            std::make_unique<vm_state>(name_of(vm), m_random.next()));
         m_vms[vm]->clock_offset =
             seconds(1 + m_random.below(clock_spread_seconds));
         start(vm);
@@ -278,7 +281,7 @@
     }
     for (std::size_t to = 0; to < m_vms.size(); ++to)
     {
-        if (name_of(to) != content.to.vm || m_cuts[{vm, to}])
+        if (m_vms[to]->name != content.to.vm || m_cuts[{vm, to}])
         {
             continue;
         }
