--- a/libs/membership/src/node.cpp
+++ b/libs/membership/src/node.cpp
@@ -23,6 +23,9 @@
 /// own engines.
 constexpr auto max_sync_wait = seconds(10);
 constexpr auto quorum_probe_period = milliseconds(500);
+/// Changes of engines are taken into the snapshot at most so often, as there
+/// are many at a start.
+constexpr auto engine_refresh_period = milliseconds(200);
 constexpr auto forget_period = seconds(10);
 
 } // namespace
@@ -50,6 +53,7 @@
 
     void tick(time_point now);
     void receive(const message& input, time_point now);
+    void refresh(time_point now);
     void join_region(time_point now);
     void become_ready(time_point now);
     void decay_flaps(time_point now);
@@ -58,7 +62,7 @@
     bool is_current(const message& input) const;
     void refuse_unknown(const message& input);
     void report_superseded();
-    actions finish(time_point now);
+    actions finish();
 
     void handle(const message& input, const join& content, time_point now);
     void handle(const message& input, const welcome& content, time_point now);
@@ -93,6 +97,8 @@
     engine_registry registry;
     digest_tree loads;
     time_point began;
+    std::uint64_t refreshed_routers = 0;
+    time_point next_refresh;
     time_point next_join;
     time_point next_quorum_probe;
     time_point next_forget;
@@ -112,7 +118,7 @@
         loads.tick(now);
     }
     lists.tick(now);
-    owned.refresh(now);
+    refresh(now);
     owned.tick(now);
     if (owned.needs_quorum() && state.active() && now >= next_quorum_probe)
     {
@@ -127,6 +133,18 @@
     }
 }
 
+void node::impl::refresh(time_point now)
+{
+    const bool same_routers = refreshed_routers == state.routers_version();
+    if (same_routers && now < next_refresh)
+    {
+        return;
+    }
+    refreshed_routers = state.routers_version();
+    next_refresh = now + engine_refresh_period;
+    owned.refresh(now);
+}
+
 void node::impl::join_region(time_point now)
 {
     if (joined || now < next_join)
@@ -164,7 +182,7 @@
         return;
     }
     const auto since = joined_at.value_or(began);
-    const bool alone = state.snapshot()->routers().size() <= 1;
+    const bool alone = state.member_count() <= 1;
     if (!alone && !lists.in_sync() && now - since < max_sync_wait)
     {
         return;
@@ -385,7 +403,6 @@
 
 void node::impl::handle(const message&, const renewals& content, time_point now)
 {
-    owned.refresh(now);
     for (const auto& item : content.items)
     {
         owned.on_renewal(item, now);
@@ -396,7 +413,6 @@
                         const hand_over& content,
                         time_point now)
 {
-    owned.refresh(now);
     owned.on_hand_over(input.from, content, now);
 }
 
@@ -440,9 +456,8 @@
     }
 }
 
-actions node::impl::finish(time_point now)
+actions node::impl::finish()
 {
-    owned.refresh(now);
     report_superseded();
     return out.take();
 }
@@ -465,7 +480,7 @@
 actions node::tick(time_point now)
 {
     m_impl->tick(now);
-    return m_impl->finish(now);
+    return m_impl->finish();
 }
 
 actions node::receive(std::string_view bytes, time_point now)
@@ -475,7 +490,7 @@
     {
         m_impl->receive(value_of(decoded), now);
     }
-    return m_impl->finish(now);
+    return m_impl->finish();
 }
 
 outcome<announce_result> node::announce(const announcement& server,
@@ -487,7 +502,7 @@
 actions node::leave(time_point now)
 {
     m_impl->leave(now);
-    return m_impl->finish(now);
+    return m_impl->finish();
 }
 
 void node::set_load(const engine_id& engine, const engine_load& load)
@@ -495,9 +510,9 @@
     m_impl->owned.set_load(key_of(engine), load);
 }
 
-std::shared_ptr<const view> node::snapshot()
+std::shared_ptr<const view> node::snapshot() const
 {
-    return m_impl->state.snapshot();
+    return m_impl->owned.current();
 }
 
 ownership node::ownership_of(const engine_id& engine, time_point now) const
