--- a/libs/config/include/limpet/config/testing/fake_fleet.hpp
+++ b/libs/config/include/limpet/config/testing/fake_fleet.hpp
@@ -140,7 +140,7 @@
     };
     struct control
     {
-        std::unique_ptr<state_machine> state;
+        state_machine state;
         config_publisher publisher;
         force_table force;
     };
@@ -162,7 +162,7 @@
     };
 
     void at(time_point when, std::function<void()> run);
-    void send(const vm_id& from, std::vector<outgoing_message> messages);
+    void send(const vm_id& from, const std::vector<outgoing_message>& messages);
     void deliver(const vm_id& from, const vm_id& to, const std::string& bytes);
     void deliver_to_control(std::size_t index,
                             const vm_id& from,
--- a/libs/config/src/document_plan.cpp
+++ b/libs/config/src/document_plan.cpp
@@ -28,7 +28,10 @@
     for (const auto& each : *fields)
     {
         const std::string name(each.key());
-        flatten(path.empty() ? name : path + "." + name, each.value(), out);
+        std::string inner = path;
+        inner += path.empty() ? "" : ".";
+        inner += name;
+        flatten(inner, each.value(), out);
     }
 }
 
--- a/libs/config/src/testing_fake_fleet.cpp
+++ b/libs/config/src/testing_fake_fleet.cpp
@@ -45,7 +45,7 @@
         m_control_index[vm] = i;
         m_data_centre_of[vm] = data_centre_name(place);
         m_region_of[vm] = place / options.data_centres_per_region;
-        m_controls.push_back({std::make_unique<state_machine>(options.seed),
+        m_controls.push_back({state_machine(options.seed),
                               config_publisher(options.settings),
                               force_table(options.settings.report_timeout)});
     }
@@ -66,14 +66,14 @@
     m_log_index = state.applied_index();
     for (control& each : m_controls)
     {
-        *each.state = state;
+        each.state = state;
     }
 }
 
 command_result fake_fleet::submit(const command& order)
 {
     const std::uint64_t index = ++m_log_index;
-    const command_result answer = m_latest.apply(index, order);
+    command_result answer = m_latest.apply(index, order);
     if (const auto* done = std::get_if<accepted>(&answer))
     {
         m_submitted[done->number] = m_now;
@@ -88,20 +88,18 @@
            {
                control& replica = m_controls[i];
                // Replicas apply in the order of the log.
-               if (replica.state->applied_index() + 1 != index)
+               if (replica.state.applied_index() + 1 != index)
                {
-                   *replica.state = m_latest;
+                   replica.state = m_latest;
                }
                else
                {
-                   replica.state->apply(index, order);
+                   replica.state.apply(index, order);
                }
                std::vector<outgoing_message> out;
                replica.publisher.publish(
-                   {replica.state->view(), replica.state->history()},
-                   m_now,
-                   out);
-               send(control_name(i), std::move(out));
+                   {replica.state.view(), replica.state.history()}, m_now, out);
+               send(control_name(i), out);
            });
     }
     return answer;
@@ -192,9 +190,10 @@
     m_events.push({when, ++m_events_made, std::move(run)});
 }
 
-void fake_fleet::send(const vm_id& from, std::vector<outgoing_message> messages)
+void fake_fleet::send(const vm_id& from,
+                      const std::vector<outgoing_message>& messages)
 {
-    for (outgoing_message& each : messages)
+    for (const outgoing_message& each : messages)
     {
         const std::string bytes = encode(each.content);
         m_traffic[from].sent += bytes.size() + frame_header_bytes;
@@ -244,7 +243,7 @@
                                     const distribution_message& message)
 {
     control& replica = m_controls[index];
-    const served_config served{replica.state->view(), replica.state->history()};
+    const served_config served{replica.state.view(), replica.state.history()};
     std::vector<outgoing_message> out;
     if (const auto* sync = std::get_if<sync_message>(&message))
     {
@@ -258,7 +257,7 @@
     {
         replica.publisher.receive(from, *part, served, m_now, out);
     }
-    send(control_name(index), std::move(out));
+    send(control_name(index), out);
 }
 
 duration fake_fleet::delay_of(const vm_id& from, const vm_id& to)
