--- a/libs/pipeline/src/owner_service.cpp
+++ b/libs/pipeline/src/owner_service.cpp
@@ -339,13 +339,13 @@
         const std::lock_guard bound_lock(bound->mutex);
         if (load)
         {
-            bound->bound.set_engines(load->eligible, now);
+            bound->bound.set_engines(load->eligible);
             bound->bound.report(region_sum,
                                 {placement::epoch_of(common - load->age),
                                  load->eligible,
                                  load->in_flight});
         }
-        bound->bound.advance(placement::epoch_of(common), now);
+        bound->bound.advance(placement::epoch_of(common));
     }
 }
 
