--- a/libs/admission/include/limpet/admission/fair_queue.hpp
+++ b/libs/admission/include/limpet/admission/fair_queue.hpp
@@ -57,7 +57,7 @@
 
     explicit fair_queue(queue_settings settings);
 
-    /// Uses the shares from now on. The table must outlive its use here.
+    /// Uses the shares from now on.
     void set_shares(std::shared_ptr<const share_table> shares);
 
     /// Returns whether the request's partner and team have room for it.
@@ -86,9 +86,6 @@
     /// Returns the number of the partner's waiting requests.
     std::size_t size_of(const partner_id& partner) const;
 
-    /// Returns the partners with waiting requests.
-    std::vector<partner_id> waiting_partners() const;
-
 private:
     /// Priority, then order of arrival.
     using place = std::pair<std::uint8_t, std::uint64_t>;
--- a/libs/admission/src/fair_queue.cpp
+++ b/libs/admission/src/fair_queue.cpp
@@ -115,16 +115,6 @@
     return found == m_partners.end() ? 0 : found->second.size;
 }
 
-std::vector<partner_id> fair_queue::waiting_partners() const
-{
-    std::vector<partner_id> partners;
-    for (const auto& [id, partner] : m_partners)
-    {
-        partners.push_back(id);
-    }
-    return partners;
-}
-
 std::optional<double> fair_queue::head_cost(const partner_queue& partner,
                                             const team_id& team) const
 {
