--- a/libs/placement/test/load_bound_test.cpp
+++ b/libs/placement/test/load_bound_test.cpp
@@ -42,16 +42,16 @@
     const std::size_t engine_counts[] = {1, 2, 4, 20};
     for (const std::size_t engines : engine_counts)
     {
-        load_bound bound{load_bound_settings{}};
-        bound.set_engines(engines);
-        bound.advance(load_epoch(100));
+        load_bound limit{load_bound_settings{}};
+        limit.set_engines(engines);
+        limit.advance(load_epoch(100));
         std::vector<std::uint64_t> loads(engines);
         for (std::uint64_t own = 0; own < 100; ++own)
         {
-            bound.set_own(own);
+            limit.set_own(own);
             // All requests go to one engine until its bound is reached.
             std::size_t at = 0;
-            while (at < engines && loads[at] + 1 > bound.bound())
+            while (at < engines && loads[at] + 1 > limit.bound())
             {
                 ++at;
             }
