--- a/libs/control/src/config_source.cpp
+++ b/libs/control/src/config_source.cpp
@@ -10,7 +10,7 @@
     : m_state(state),
       m_hub(std::move(hub)),
       m_publisher(config::distribution_settings{}),
-      m_force(config::distribution_settings{}.silence_timeout)
+      m_force(config::distribution_settings{}.report_timeout)
 {
 }
 
@@ -54,6 +54,11 @@
     return m_force.summary(now);
 }
 
+const std::optional<config::position>& config_source::highest_heard() const
+{
+    return m_publisher.highest_heard();
+}
+
 config::served_config config_source::served() const
 {
     return {m_state.config().view(), m_state.config().history()};
--- a/libs/control/src/config_source.hpp
+++ b/libs/control/src/config_source.hpp
@@ -10,6 +10,7 @@
 #include <limpet/wire/link_hub.hpp>
 
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -33,6 +34,9 @@
     /// Returns where the configuration is in force.
     config::force_summary force(time_point now) const;
 
+    /// Returns the highest position that a router had in force.
+    const std::optional<config::position>& highest_heard() const;
+
 private:
     config::served_config served() const;
     void send(std::vector<config::outgoing_message> messages);
--- a/libs/control/src/operator_service.cpp
+++ b/libs/control/src/operator_service.cpp
@@ -137,8 +137,12 @@
         request.target,
         std::string(request.headers.value_or_empty("Authorization")),
         request.body};
-    auto handled = config::handle_operator(
-        call, {m_state.config(), force, unix_ms(), std::nullopt});
+    auto handled = config::handle_operator(call,
+                                           {m_state.config(),
+                                            force,
+                                            unix_ms(),
+                                            std::nullopt,
+                                            m_source.highest_heard()});
     if (const auto* made = std::get_if<config::api_response>(&handled))
     {
         co_return to_http(*made);
--- a/libs/pipeline/include/limpet/pipeline/exchange_message.hpp
+++ b/libs/pipeline/include/limpet/pipeline/exchange_message.hpp
@@ -45,6 +45,9 @@
     duration deadline{};
     /// Longest time the request may wait in this owner's queue.
     duration queue_time{};
+    /// Time after which a request that has no other engine to try is sent
+    /// back for another round.
+    duration longest_wait{};
     /// Last event that the caller has, 0 for none.
     std::uint64_t resume_after = 0;
     http::request call;
--- a/libs/pipeline/src/attempt.cpp
+++ b/libs/pipeline/src/attempt.cpp
@@ -158,7 +158,9 @@
     open.is_first = m_target.is_first;
     open.may_go_elsewhere = m_target.may_go_elsewhere;
     open.deadline = m_context.deadline - now;
-    open.queue_time = m_context.queue_time;
+    // What earlier rounds have waited counts.
+    open.queue_time = std::max(m_context.queue_until - now, duration::zero());
+    open.longest_wait = m_target.longest_wait;
     open.resume_after = m_writer.last_event();
     open.call = m_context.forwarded;
     return open;
--- a/libs/pipeline/src/attempt.hpp
+++ b/libs/pipeline/src/attempt.hpp
@@ -102,6 +102,8 @@
     bool is_first = false;
     /// Whether the entry router has another engine to try.
     bool may_go_elsewhere = true;
+    /// Longest wait at an engine that is the last to try.
+    duration longest_wait{};
 };
 
 /// Opens an exchange with an engine's owner and passes the answer on to the
--- a/libs/pipeline/src/entry_service.cpp
+++ b/libs/pipeline/src/entry_service.cpp
@@ -25,7 +25,7 @@
 constexpr double retry_ratio = 0.1;
 constexpr double retry_burst = 20;
 /// Tries of one request over all engines, queueing included.
-constexpr std::uint32_t max_attempts = 12;
+constexpr std::uint32_t max_attempts = 100;
 /// Time for the list of owners to change before another try.
 constexpr duration owner_retry_delay = milliseconds(100);
 /// Age up to which an engine counts as having room.
@@ -51,7 +51,24 @@
 bool is_final(const attempt_result& result, const placement::stop& stop)
 {
     return result.reason.code == error_code::cancelled ||
-           (stop.is_last && result.reason.code != error_code::not_owner);
+           (stop.is_last && result.reason.code != error_code::not_owner &&
+            result.reason.code != error_code::overloaded);
+}
+
+/// Adds the time to come back to a refusal that has none although trying again
+/// helps.
+refusal with_retry_time(refusal why)
+{
+    const bool helps = why.reason.code == error_code::overloaded ||
+                       why.reason.code == error_code::unavailable ||
+                       why.reason.code == error_code::timeout ||
+                       why.reason.code == error_code::not_owner;
+    if (helps && why.outcome == run_outcome::not_run &&
+        why.retry_after == duration::zero())
+    {
+        why.retry_after = unavailable_retry;
+    }
+    return why;
 }
 
 refusal no_engine(const model_id& model)
@@ -194,7 +211,7 @@
     {
         co_return no_engine(context.model);
     }
-    const placement::route_request wanted{
+    placement::route_request wanted{
         placement::make_chat_key(context.team, context.chat),
         context.returning,
         context.placement_hint};
@@ -204,9 +221,11 @@
         const std::lock_guard lock(m_budget_mutex);
         m_budget.on_request();
     }
+    context.queue_until = context.received_at + context.queue_time;
     refusal last = no_engine(context.model);
     while (context.attempts < max_attempts &&
-           monotonic_clock::now() < context.deadline)
+           monotonic_clock::now() <
+               std::min(context.deadline, context.queue_until))
     {
         ++context.attempts;
         const placement::stop stop = next_stop(context.model, trip);
@@ -233,20 +252,28 @@
         {
             break;
         }
-        if (not_run)
+        if (not_run && stop.is_last)
+        {
+            ++wanted.round;
+            trip = placement::itinerary(
+                engines, wanted, m_route_settings, monotonic_clock::now());
+        }
+        else if (not_run)
         {
             trip.add_holders(to_holders(result.holders));
         }
         else
         {
             writer.restart();
+            // A request that ran and broke off may queue anew.
+            context.queue_until = monotonic_clock::now() + context.queue_time;
         }
         if (result.reason.code == error_code::not_owner)
         {
             co_await wait_for(owner_retry_delay);
         }
     }
-    co_return last;
+    co_return with_retry_time(last);
 }
 
 placement::stop entry_service::next_stop(const model_id& model,
--- a/libs/pipeline/src/exchange_codec.cpp
+++ b/libs/pipeline/src/exchange_codec.cpp
@@ -89,6 +89,7 @@
                                value.may_go_elsewhere,
                                to_wire_ms(value.deadline),
                                to_wire_ms(value.queue_time),
+                               to_wire_ms(value.longest_wait),
                                value.resume_after,
                                builder.CreateString(value.call.method),
                                builder.CreateString(value.call.target),
@@ -197,6 +198,7 @@
     value.may_go_elsewhere = table.may_go_elsewhere();
     value.deadline = milliseconds(table.deadline_ms());
     value.queue_time = milliseconds(table.queue_ms());
+    value.longest_wait = milliseconds(table.longest_wait_ms());
     value.resume_after = table.resume_after();
     value.call.method = table.method()->str();
     value.call.target = table.target()->str();
--- a/libs/pipeline/src/owner_service.cpp
+++ b/libs/pipeline/src/owner_service.cpp
@@ -677,6 +677,7 @@
     made.item.deadline = now + std::min(request.deadline, request.queue_time);
     made.prompt = token_count(request.cost_tokens);
     made.may_go_elsewhere = request.may_go_elsewhere;
+    made.longest_wait = request.longest_wait;
     made.cached = std::min(
         made.prompt,
         placement::cached_at(holders_of(request, now), request.engine));
--- a/libs/pipeline/src/request_context.hpp
+++ b/libs/pipeline/src/request_context.hpp
@@ -85,6 +85,8 @@
     std::uint8_t priority = 0;
     std::uint32_t prompt_tokens = 0;
     duration queue_time{};
+    /// Time after which the request is refused unless it runs.
+    time_point queue_until{};
     std::optional<idempotency_key> key;
     /// Event after which the caller resumes a stream.
     std::uint64_t resume_after = 0;
