The fleet test checks that a data centre taken out gets no new work

Cause: the case only checked that requests were answered. It now compares what reached the data centre's servers after the change was in force.

Conclusion: a router says that a revision is in force after it acts on it.

--- a/libs/control/src/config_source.cpp
+++ b/libs/control/src/config_source.cpp
@@ -39,14 +39,14 @@
     {
         m_publisher.receive(from, *part, served(), now, out);
     }
-    send(std::move(out));
+    send(out);
 }
 
 void config_source::publish(time_point now)
 {
     std::vector<config::outgoing_message> out;
     m_publisher.publish(served(), now, out);
-    send(std::move(out));
+    send(out);
 }
 
 config::force_summary config_source::force(time_point now) const
@@ -64,7 +64,7 @@
     return {m_state.config().view(), m_state.config().history()};
 }
 
-void config_source::send(std::vector<config::outgoing_message> messages)
+void config_source::send(const std::vector<config::outgoing_message>& messages)
 {
     for (const config::outgoing_message& item : messages)
     {
--- a/libs/control/src/config_source.hpp
+++ b/libs/control/src/config_source.hpp
@@ -39,7 +39,7 @@
 
 private:
     config::served_config served() const;
-    void send(std::vector<config::outgoing_message> messages);
+    void send(const std::vector<config::outgoing_message>& messages);
 
     const control_state& m_state;
     std::shared_ptr<wire::link_hub> m_hub;
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -69,7 +69,7 @@
         m_server->stop_accepting();
         m_draining = true;
         m_replica->stop(
-            [call = std::move(on_drained)](status)
+            [call = std::move(on_drained)](const status&)
             {
                 call();
             });
@@ -92,7 +92,7 @@
         wire::link_handlers handlers;
         handlers.on_frame = [this](const wire::link_identity& from,
                                    wire::channel kind,
-                                   std::string payload)
+                                   const std::string& payload)
         {
             take_frame(from, kind, payload);
         };
--- a/libs/pipeline/src/config_store.cpp
+++ b/libs/pipeline/src/config_store.cpp
@@ -83,10 +83,10 @@
     }
     if (changed)
     {
+        m_on_change();
         log_event(log_level::info,
                   "config.in_force",
                   {{"revision", get()->where().number.get()}});
-        m_on_change();
     }
 }
 
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -103,6 +103,7 @@
         self.routers = {}
         self.replicas = {}
         self.standin = None
+        self.violations = None
         self.revision = 0
         self.operations = 0
 
@@ -193,10 +194,12 @@
     def _prepare_standin(self):
         servers = []
         self.servers = {}
+        self.places = {}
 
         def add(name, place, details):
             port = STANDIN_FIRST_PORT + len(servers)
             self.servers[name] = port
+            self.places[name] = DATA_CENTRES[place % 4]
             servers.append({
                 "id": name, "data_centre": DATA_CENTRES[place % 4],
                 "listen": f"{STANDIN_ADDRESS}:{port}",
@@ -308,3 +311,11 @@
         return {name: json.loads(call(
             STANDIN_ADDRESS, port, "GET", "/v1/standin/record")[2])
             for name, port in self.servers.items()}
+
+    def runs_in(self, data_centre):
+        """Returns how many requests of callers reached the data centre."""
+        return sum(
+            not entry["request"].startswith("direct-")
+            for name, record in self.records().items()
+            if self.places[name] == data_centre
+            for entry in record["requests"])
--- a/tests/fleet/fleet_test.py
+++ b/tests/fleet/fleet_test.py
@@ -87,8 +87,16 @@
     def begin(fleet):
         fleet.set_in_service(name, False)
         fleet.wait_in_force()
+        # What was dispatched just before has reached its server when another
+        # change has passed through all routers.
+        fleet.put({"kind": "data_centre", "id": f"after-{name}",
+                   "region": "north"})
+        fleet.wait_in_force()
+        before = fleet.runs_in(name)
 
         def end():
+            if fleet.runs_in(name) != before:
+                fleet.violations.add(f"{name} got new work while out")
             fleet.set_in_service(name, True)
             fleet.wait_in_force()
         return end
@@ -152,6 +160,7 @@
     violations = Violations()
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(binaries, folder)
+        fleet.violations = violations
         try:
             fleet.start()
             for number, (name, fault) in enumerate(CASES):
