limpetctl status shows the limits of all engines

Cause: the status showed load and limits only of the engines that the first router owns. It now asks every router named and joins what they own.

--- a/tools/limpetctl/control_client.cpp
+++ b/tools/limpetctl/control_client.cpp
@@ -18,6 +18,7 @@
 {
 
 constexpr std::size_t max_answer_bytes = 64 * 1024 * 1024;
+constexpr unsigned status_ok = 200;
 constexpr unsigned service_unavailable = 503;
 constexpr duration retry_pause = milliseconds(200);
 
@@ -33,6 +34,22 @@
     return send("GET", target, {});
 }
 
+std::vector<boost::json::value>
+control_client::get_from_each(const std::string& target)
+{
+    std::vector<boost::json::value> bodies;
+    for (const std::string& server : m_settings.servers)
+    {
+        const outcome<answer> received =
+            send_once(server, "GET", target, {}, m_settings.timeout);
+        if (is_ok(received) && value_of(received).status == status_ok)
+        {
+            bodies.push_back(value_of(received).body);
+        }
+    }
+    return bodies;
+}
+
 outcome<answer> control_client::post(const std::string& target,
                                      const boost::json::value& body)
 {
--- a/tools/limpetctl/control_client.hpp
+++ b/tools/limpetctl/control_client.hpp
@@ -45,6 +45,10 @@
 public:
     explicit control_client(client_settings settings);
 
+    /// Sends a GET request to each server once and returns the answers with
+    /// status 200. Servers that do not answer are left out.
+    std::vector<boost::json::value> get_from_each(const std::string& target);
+
     /// Returns the answer of the first server that gives one within the
     /// timeout.
     outcome<answer> get(const std::string& target);
--- a/tools/limpetctl/read_commands.cpp
+++ b/tools/limpetctl/read_commands.cpp
@@ -139,6 +139,25 @@
     return value_of(received).body;
 }
 
+/// Adds what another router knows of the engines that it owns.
+void add_owned_engines(boost::json::value& to, const boost::json::value& from)
+{
+    for (const auto& owned : from.at("engines").as_array())
+    {
+        if (!owned.as_object().contains("limit"))
+        {
+            continue;
+        }
+        for (auto& engine : to.at("engines").as_array())
+        {
+            if (engine.at("engine") == owned.at("engine"))
+            {
+                engine = owned;
+            }
+        }
+    }
+}
+
 } // namespace
 
 exit_code run_show(session& with)
@@ -246,12 +265,16 @@
 
 exit_code run_status(session& with)
 {
-    const auto body = fetch(with.routers, "/v1/status");
-    if (const auto* failed = std::get_if<exit_code>(&body))
+    auto bodies = with.routers.get_from_each("/v1/status");
+    if (bodies.empty())
     {
-        return *failed;
+        return fail(exit_code::failed, "no router answered");
+    }
+    auto& value = bodies.front();
+    for (std::size_t at = 1; at < bodies.size(); ++at)
+    {
+        add_owned_engines(value, bodies[at]);
     }
-    const auto& value = std::get<0>(body);
     if (with.flags.json)
     {
         print_json(value);
