An owner without full ownership stays within its share

Cause: found by reading: the ownership rules say that a limited owner dispatches up to the cold limit, and that what the former owner still runs counts; the running router enforced neither. An engine that had left the list was also kept for ever.

Conclusion: the dispatcher is told its ownership at each poll.

--- a/libs/admission/include/limpet/admission/dispatcher.hpp
+++ b/libs/admission/include/limpet/admission/dispatcher.hpp
@@ -106,6 +106,11 @@
     /// Uses the shares from now on.
     void set_shares(std::shared_ptr<const share_table> shares);
 
+    /// Bounds the requests in flight further while the ownership of the engine
+    /// is not full: at most `most`, and as many fewer as the former owner still
+    /// has running there.
+    void set_ownership(std::uint32_t most, std::uint32_t inherited) noexcept;
+
     /// Takes the engine out of service or back into it. Out of service,
     /// waiting requests go elsewhere and nothing starts; requests in flight
     /// go on. Back in service, the limit starts at the cold limit.
@@ -180,6 +185,7 @@
                               token_count importable) const;
     bool is_import_worthwhile(const offer& request) const;
     duration patience_of(const offer& request) const;
+    std::uint32_t slots(const placement::load_bound& bound) const;
     duration expected_wait(std::size_t ahead, std::uint32_t slots) const;
     void start(const queue_item& item, time_point now);
     void start_waiting(std::uint32_t slots,
@@ -214,6 +220,8 @@
     std::deque<std::pair<time_point, std::uint32_t>> m_highest;
     /// Smoothed time that a request is in flight, in seconds.
     double m_service_seconds = 5;
+    std::uint32_t m_most = UINT32_MAX;
+    std::uint32_t m_inherited = 0;
     bool m_in_service;
 };
 
--- a/libs/admission/src/dispatcher.cpp
+++ b/libs/admission/src/dispatcher.cpp
@@ -73,13 +73,27 @@
 {
     check_overdue(now);
     std::vector<dispatch_action> actions;
-    const std::uint32_t slots = std::min(m_limit.limit(), bound.bound());
-    start_waiting(slots, now, actions);
-    send_elsewhere(slots, now, actions);
-    refuse_hopeless(slots, now, actions);
+    const std::uint32_t usable = slots(bound);
+    start_waiting(usable, now, actions);
+    send_elsewhere(usable, now, actions);
+    refuse_hopeless(usable, now, actions);
     return actions;
 }
 
+void dispatcher::set_ownership(std::uint32_t most,
+                               std::uint32_t inherited) noexcept
+{
+    m_most = most;
+    m_inherited = inherited;
+}
+
+std::uint32_t dispatcher::slots(const placement::load_bound& bound) const
+{
+    const std::uint32_t highest =
+        std::min({m_limit.limit(), bound.bound(), m_most});
+    return highest > m_inherited ? highest - m_inherited : 0;
+}
+
 void dispatcher::first_token(const request_id& id, time_point now)
 {
     const auto place = m_flights.find(id);
@@ -160,9 +174,9 @@
 
 std::uint32_t dispatcher::room(const placement::load_bound& bound) const
 {
-    const std::uint32_t slots = std::min(m_limit.limit(), bound.bound());
+    const std::uint32_t usable = slots(bound);
     const auto used = static_cast<std::uint32_t>(in_flight() + waiting());
-    return m_in_service && used < slots ? slots - used : 0;
+    return m_in_service && used < usable ? usable - used : 0;
 }
 
 std::uint32_t dispatcher::limit() const noexcept
--- a/libs/admission/test/dispatcher_test.cpp
+++ b/libs/admission/test/dispatcher_test.cpp
@@ -87,6 +87,30 @@
 
 BOOST_FIXTURE_TEST_SUITE(dispatcher_suite, dispatcher_fixture)
 
+BOOST_AUTO_TEST_CASE(owner_without_full_ownership_stays_below_its_share)
+{
+    struct ownership_case
+    {
+        std::uint32_t most;
+        std::uint32_t inherited;
+        std::size_t started;
+    };
+    const ownership_case cases[] = {
+        {UINT32_MAX, 0, 4}, {2, 0, 2}, {UINT32_MAX, 3, 1}, {2, 5, 0}};
+    for (const ownership_case& each : cases)
+    {
+        started.clear();
+        dispatcher item(settings, engine);
+        item.set_ownership(each.most, each.inherited);
+        for (int n = 0; n < 6; ++n)
+        {
+            item.bring(make("r" + std::to_string(n), false), now);
+        }
+        poll(item);
+        BOOST_TEST(started.size() == each.started);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(full_engine_sends_a_cold_request_elsewhere_at_once)
 {
     dispatcher item(settings, engine);
--- a/libs/pipeline/src/attempt.cpp
+++ b/libs/pipeline/src/attempt.cpp
@@ -246,7 +246,11 @@
              {error_code::io_error, "a part of the answer was lost"});
         return;
     }
-    fail(message.result, message.reason);
+    const bool timed_out =
+        m_cancelled && message.result == finish_result::not_run;
+    fail(message.result,
+         timed_out ? error{error_code::timeout, "the deadline has passed"}
+                   : message.reason);
     m_result->retry_after = message.retry_after;
     m_result->holders = message.holders;
 }
--- a/libs/pipeline/src/owner_service.cpp
+++ b/libs/pipeline/src/owner_service.cpp
@@ -122,6 +122,8 @@
     /// Requests in flight that the model's bound has counted.
     std::uint32_t counted = 0;
     bool in_service = true;
+    /// Whether the list of engines has lost it.
+    bool is_gone = false;
 };
 
 owner_service::owner_service(net::io_context& context,
@@ -395,6 +397,7 @@
             {
                 engine->record = *entry->engine;
             }
+            engine->is_gone = entry == nullptr;
             if (in_service != engine->in_service)
             {
                 engine->in_service = in_service;
@@ -403,6 +406,20 @@
         }
         poll(engine, now);
     }
+    forget_gone_engines();
+}
+
+void owner_service::forget_gone_engines()
+{
+    const std::unique_lock lock(m_engines_mutex);
+    std::erase_if(m_engines,
+                  [](const auto& item)
+                  {
+                      const std::lock_guard engine_lock(item.second->mutex);
+                      const auto& queue = item.second->queue;
+                      return item.second->is_gone && queue.in_flight() == 0 &&
+                             queue.waiting() == 0;
+                  });
 }
 
 void owner_service::on_ownership(const membership::ownership_changed& change)
@@ -525,6 +542,7 @@
     std::vector<admission::dispatch_action> actions;
     {
         const std::lock_guard lock(engine->mutex);
+        apply_ownership(*engine, now);
         const std::lock_guard bound_lock(engine->bound->mutex);
         model_bound& bound = *engine->bound;
         bound.recount(engine->counted, engine->queue.in_flight());
@@ -535,6 +553,23 @@
     publish_load(engine);
 }
 
+void owner_service::apply_ownership(owned_engine& engine, time_point now)
+{
+    const auto standing =
+        m_fleet->ownership_of(engine.record.server.engine, now);
+    std::uint32_t most = UINT32_MAX;
+    if (standing.mode == membership::ownership_mode::none)
+    {
+        most = 0;
+    }
+    if (standing.mode == membership::ownership_mode::limited)
+    {
+        most = placement::limit_settings{}.cold_limit;
+    }
+    engine.queue.set_ownership(
+        most, standing.inherited ? standing.inherited->in_flight : 0);
+}
+
 void owner_service::carry_out(
     const engine_ptr& engine,
     const std::vector<admission::dispatch_action>& actions)
--- a/libs/pipeline/src/owner_service.hpp
+++ b/libs/pipeline/src/owner_service.hpp
@@ -94,6 +94,8 @@
     void refresh_bounds(time_point now);
     void release(const engine_id& engine, time_point now);
     void poll(const engine_ptr& engine, time_point now);
+    void apply_ownership(owned_engine& engine, time_point now);
+    void forget_gone_engines();
     void carry_out(const engine_ptr& engine,
                    const std::vector<admission::dispatch_action>& actions);
     void start(const engine_ptr& engine, const exchange_ptr& exchange);
