Engine table apart from the owner service; guarantees and team shares count

Splitting it showed that a partner's guaranteed_percent and a team's share reached the configuration but not the dispatchers, so operators set them without effect.

Conclusion: share tables are made from the configuration in force, guarantees and team shares included.

--- a/libs/admission/src/slot_guarantee.cpp
+++ b/libs/admission/src/slot_guarantee.cpp
@@ -46,7 +46,7 @@
                               std::uint32_t slots,
                               const share_table& shares) const
 {
-    const double guarantee = slots * shares.part_of(partner);
+    const double guarantee = slots * shares.guarantee_of(partner);
     return in_flight(partner) + 1 <= guarantee;
 }
 
@@ -67,7 +67,7 @@
     {
         if (other != partner)
         {
-            const double guarantee = slots * shares.part_of(other);
+            const double guarantee = slots * shares.guarantee_of(other);
             const double unused = guarantee - in_flight(other);
             kept += std::floor(std::clamp(unused, 0.0, m_margin * guarantee));
         }
--- a/libs/admission/test/dispatcher_test.cpp
+++ b/libs/admission/test/dispatcher_test.cpp
@@ -87,6 +87,31 @@
 
 BOOST_FIXTURE_TEST_SUITE(dispatcher_suite, dispatcher_fixture)
 
+BOOST_AUTO_TEST_CASE(partner_with_a_guarantee_starts_up_to_it_first)
+{
+    auto shares = std::make_shared<share_table>();
+    shares->partners = {{partner_id("a"), 1}, {partner_id("b"), 1}};
+    shares->guarantees = {{partner_id("b"), 0.75}};
+    dispatcher item(settings, engine);
+    item.set_shares(shares);
+    for (int n = 0; n < 4; ++n)
+    {
+        item.bring(make("a" + std::to_string(n), false, "a"), now);
+        item.bring(make("b" + std::to_string(n), false, "b"), now);
+    }
+    poll(item);
+    const auto of_b = std::count_if(started.begin(),
+                                    started.end(),
+                                    [](const std::string& id)
+                                    {
+                                        return id.front() == 'b';
+                                    });
+    BOOST_TEST(started.size() == 4U);
+    BOOST_TEST(of_b >= 2);
+    BOOST_TEST(shares->guarantee_of(partner_id("b")) == 0.75);
+    BOOST_TEST(shares->guarantee_of(partner_id("a")) == 0.5);
+}
+
 BOOST_AUTO_TEST_CASE(owner_without_full_ownership_stays_below_its_share)
 {
     struct ownership_case
--- a/libs/pipeline/src/owner_service.cpp
+++ b/libs/pipeline/src/owner_service.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
-#include <chrono>
 
 namespace limpet::pipeline
 {
@@ -20,26 +19,6 @@
 
 /// Time after which a caller may try an engine again that was not owned here.
 constexpr duration not_owner_retry = milliseconds(100);
-constexpr double full_percent = 100.0;
-
-placement::engine_view make_engine_view(const membership::engine_record& from)
-{
-    placement::engine_view view;
-    view.id = from.server.engine;
-    view.run = from.server.started;
-    view.data_centre = from.server.data_centre;
-    view.slots = std::max<std::uint32_t>(1, from.server.slots);
-    view.in_service = from.accepts_work();
-    return view;
-}
-
-bool is_in_service(const membership::engine_record& record,
-                   const config::config_view& view)
-{
-    return record.accepts_work() &&
-           view.in_service(record.server.data_centre) &&
-           view.in_service(record.server.engine);
-}
 
 exchange_state to_exchange_state(claims::request_state state)
 {
@@ -58,74 +37,8 @@
     return exchange_state::unknown;
 }
 
-model_id first_model(const membership::engine_record& record)
-{
-    return record.server.models.empty() ? model_id()
-                                        : record.server.models.front();
-}
-
-/// Returns the VMs' common clock, which counts load epochs.
-duration common_clock()
-{
-    return std::chrono::duration_cast<duration>(
-        std::chrono::system_clock::now().time_since_epoch());
-}
-
-std::shared_ptr<const admission::share_table>
-make_shares(const config::config_view& view)
-{
-    auto table = std::make_shared<admission::share_table>();
-    view.objects<config::partner>().for_each(
-        [&](const config::stored<config::partner>& item)
-        {
-            table->partners[item.value.id] =
-                std::max(1U, item.value.share) / full_percent;
-        });
-    return table;
-}
-
 } // namespace
 
-/// Load bound of one model.
-struct owner_service::model_bound
-{
-    /// Replaces what one engine adds to this router's requests in flight.
-    void recount(std::uint32_t& counted, std::uint32_t in_flight)
-    {
-        own += in_flight;
-        own -= counted;
-        counted = in_flight;
-        bound.set_own(own);
-    }
-
-    std::mutex mutex;
-    placement::load_bound bound{placement::load_bound_settings{}};
-    /// Requests in flight on this router's engines of the model.
-    std::uint64_t own = 0;
-};
-
-/// One engine's dispatcher and the facts that dispatching needs.
-struct owner_service::owned_engine
-{
-    owned_engine(const membership::engine_record& from,
-                 std::shared_ptr<model_bound> model)
-        : record(from),
-          bound(std::move(model)),
-          queue(admission::dispatcher_settings{}, make_engine_view(from))
-    {
-    }
-
-    std::mutex mutex;
-    membership::engine_record record;
-    std::shared_ptr<model_bound> bound;
-    admission::dispatcher queue;
-    /// Requests in flight that the model's bound has counted.
-    std::uint32_t counted = 0;
-    bool in_service = true;
-    /// Whether the list of engines has lost it.
-    bool is_gone = false;
-};
-
 owner_service::owner_service(net::io_context& context,
                              std::shared_ptr<wire::link_hub> hub,
                              std::shared_ptr<http::client> client,
@@ -136,8 +49,7 @@
       m_client(std::move(client)),
       m_fleet(std::move(members)),
       m_directory(std::move(directory)),
-      m_shares(std::make_shared<admission::share_table>()),
-      m_config(std::make_shared<config::config_view>()),
+      m_engines(m_fleet),
       m_ledger(m_hub->self().start, {})
 {
 }
@@ -220,7 +132,7 @@
         refuse_open(exchange, {error_code::overloaded, "cached elsewhere"}, {});
         return;
     }
-    const engine_ptr engine = find_or_add_engine(*entry->engine, now);
+    const owned_engine_ptr engine = m_engines.find_or_add(*entry->engine, now);
     {
         const std::lock_guard lock(engine->mutex);
         engine->queue.bring(make_offer(*exchange, now), now);
@@ -256,7 +168,7 @@
     {
         return;
     }
-    if (const engine_ptr engine = find_engine(exchange->open().engine))
+    if (const owned_engine_ptr engine = m_engines.find(exchange->open().engine))
     {
         const std::lock_guard lock(engine->mutex);
         if (engine->queue.withdraw(key))
@@ -299,127 +211,12 @@
     return found == m_exchanges.end() ? nullptr : found->second;
 }
 
-owner_service::engine_ptr
-owner_service::find_engine(const engine_id& engine) const
-{
-    const std::shared_lock lock(m_engines_mutex);
-    const auto found = m_engines.find(engine);
-    return found == m_engines.end() ? nullptr : found->second;
-}
-
-owner_service::engine_ptr
-owner_service::find_or_add_engine(const membership::engine_record& record,
-                                  time_point now)
-{
-    if (engine_ptr known = find_engine(record.server.engine))
-    {
-        return known;
-    }
-    {
-        const std::unique_lock lock(m_engines_mutex);
-        engine_ptr& slot = m_engines[record.server.engine];
-        if (!slot)
-        {
-            slot = std::make_shared<owned_engine>(
-                record, bound_of(first_model(record)));
-            slot->queue.set_shares(m_shares);
-            slot->in_service = is_in_service(record, *m_config);
-            slot->queue.set_in_service(slot->in_service);
-        }
-    }
-    refresh_bounds(now);
-    return find_engine(record.server.engine);
-}
-
-std::shared_ptr<owner_service::model_bound>
-owner_service::bound_of(const model_id& model)
-{
-    std::shared_ptr<model_bound>& slot = m_bounds[model];
-    if (!slot)
-    {
-        slot = std::make_shared<model_bound>();
-    }
-    return slot;
-}
-
-void owner_service::refresh_bounds(time_point now)
-{
-    const vm_id region_sum("region");
-    const duration common = common_clock();
-    const std::shared_lock lock(m_engines_mutex);
-    for (const auto& [model, bound] : m_bounds)
-    {
-        const auto load = m_fleet->load_of(model, now);
-        const std::lock_guard bound_lock(bound->mutex);
-        if (load)
-        {
-            bound->bound.set_engines(load->eligible);
-            bound->bound.report(region_sum,
-                                {placement::epoch_of(common - load->age),
-                                 load->eligible,
-                                 load->in_flight});
-        }
-        bound->bound.advance(placement::epoch_of(common));
-    }
-}
-
 void owner_service::update(const fleet::view_ptr& members,
                            const config::view_ptr& config)
 {
     const time_point now = monotonic_clock::now();
-    const auto shares = make_shares(*config);
-    std::vector<engine_ptr> engines;
-    {
-        const std::unique_lock lock(m_engines_mutex);
-        m_shares = shares;
-        m_config = config;
-        for (const auto& [id, engine] : m_engines)
-        {
-            engines.push_back(engine);
-        }
-    }
-    for (const engine_ptr& engine : engines)
-    {
-        {
-            const std::lock_guard lock(engine->mutex);
-            const auto* entry =
-                members->find_engine(engine->record.server.engine);
-            const bool in_service =
-                entry != nullptr && is_in_service(*entry->engine, *config);
-            engine->queue.set_shares(shares);
-            if (entry != nullptr &&
-                entry->engine->server.started != engine->record.server.started)
-            {
-                engine->queue.report({entry->engine->server.started, 0, {}},
-                                     now);
-            }
-            if (entry != nullptr)
-            {
-                engine->record = *entry->engine;
-            }
-            engine->is_gone = entry == nullptr;
-            if (in_service != engine->in_service)
-            {
-                engine->in_service = in_service;
-                engine->queue.set_in_service(in_service);
-            }
-        }
-        poll(engine, now);
-    }
-    forget_gone_engines();
-}
-
-void owner_service::forget_gone_engines()
-{
-    const std::unique_lock lock(m_engines_mutex);
-    std::erase_if(m_engines,
-                  [](const auto& item)
-                  {
-                      const std::lock_guard engine_lock(item.second->mutex);
-                      const auto& queue = item.second->queue;
-                      return item.second->is_gone && queue.in_flight() == 0 &&
-                             queue.waiting() == 0;
-                  });
+    m_engines.update(*members, config, now);
+    poll_all(now);
 }
 
 void owner_service::on_ownership(const membership::ownership_changed& change)
@@ -436,7 +233,7 @@
     {
         return;
     }
-    const engine_ptr engine = find_or_add_engine(*entry->engine, now);
+    const owned_engine_ptr engine = m_engines.find_or_add(*entry->engine, now);
     const auto standing = m_fleet->ownership_of(change.engine, now);
     if (standing.inherited)
     {
@@ -447,7 +244,7 @@
 
 void owner_service::release(const engine_id& engine, time_point now)
 {
-    const engine_ptr known = find_engine(engine);
+    const owned_engine_ptr known = m_engines.find(engine);
     if (!known)
     {
         return;
@@ -455,8 +252,7 @@
     {
         const std::lock_guard lock(known->mutex);
         // Waiting requests go elsewhere; those in flight end here.
-        known->in_service = false;
-        known->queue.set_in_service(false);
+        known->set_in_service(false);
     }
     poll(known, now);
 }
@@ -483,7 +279,7 @@
 void owner_service::report(const engine_id& engine,
                            const placement::engine_report& load)
 {
-    const engine_ptr found = find_engine(engine);
+    const owned_engine_ptr found = m_engines.find(engine);
     if (!found)
     {
         return;
@@ -498,16 +294,13 @@
 
 void owner_service::tick(time_point now)
 {
-    refresh_bounds(now);
-    std::vector<engine_ptr> engines;
-    {
-        const std::shared_lock lock(m_engines_mutex);
-        for (const auto& [id, engine] : m_engines)
-        {
-            engines.push_back(engine);
-        }
-    }
-    for (const engine_ptr& engine : engines)
+    m_engines.refresh_bounds(now);
+    poll_all(now);
+}
+
+void owner_service::poll_all(time_point now)
+{
+    for (const owned_engine_ptr& engine : m_engines.all())
     {
         poll(engine, now);
     }
@@ -521,57 +314,35 @@
 
 std::vector<engine_status> owner_service::engines() const
 {
-    std::vector<engine_status> all;
-    const std::shared_lock lock(m_engines_mutex);
-    for (const auto& [id, engine] : m_engines)
+    std::vector<engine_status> statuses;
+    for (const owned_engine_ptr& engine : m_engines.all())
     {
         const std::lock_guard engine_lock(engine->mutex);
         const std::lock_guard bound_lock(engine->bound->mutex);
-        all.push_back({id,
-                       engine->queue.in_flight(),
-                       engine->queue.waiting(),
-                       engine->queue.limit(),
-                       engine->bound->bound.bound(),
-                       engine->in_service});
-    }
-    return all;
+        statuses.push_back({engine->record.server.engine,
+                            engine->queue.in_flight(),
+                            engine->queue.waiting(),
+                            engine->queue.limit(),
+                            engine->bound->bound.bound(),
+                            engine->in_service});
+    }
+    return statuses;
 }
 
-void owner_service::poll(const engine_ptr& engine, time_point now)
+void owner_service::poll(const owned_engine_ptr& engine, time_point now)
 {
     std::vector<admission::dispatch_action> actions;
     {
         const std::lock_guard lock(engine->mutex);
-        apply_ownership(*engine, now);
-        const std::lock_guard bound_lock(engine->bound->mutex);
-        model_bound& bound = *engine->bound;
-        bound.recount(engine->counted, engine->queue.in_flight());
-        actions = engine->queue.poll(bound.bound, now);
-        bound.recount(engine->counted, engine->queue.in_flight());
+        engine->apply(m_fleet->ownership_of(engine->record.server.engine, now));
+        actions = engine->poll(now);
     }
     carry_out(engine, actions);
     publish_load(engine);
 }
 
-void owner_service::apply_ownership(owned_engine& engine, time_point now)
-{
-    const auto standing =
-        m_fleet->ownership_of(engine.record.server.engine, now);
-    std::uint32_t most = UINT32_MAX;
-    if (standing.mode == membership::ownership_mode::none)
-    {
-        most = 0;
-    }
-    if (standing.mode == membership::ownership_mode::limited)
-    {
-        most = placement::limit_settings{}.cold_limit;
-    }
-    engine.queue.set_ownership(
-        most, standing.inherited ? standing.inherited->in_flight : 0);
-}
-
 void owner_service::carry_out(
-    const engine_ptr& engine,
+    const owned_engine_ptr& engine,
     const std::vector<admission::dispatch_action>& actions)
 {
     for (const admission::dispatch_action& action : actions)
@@ -605,7 +376,7 @@
     }
 }
 
-void owner_service::start(const engine_ptr& engine,
+void owner_service::start(const owned_engine_ptr& engine,
                           const exchange_ptr& exchange)
 {
     const time_point now = monotonic_clock::now();
@@ -640,7 +411,7 @@
         net::detached);
 }
 
-void owner_service::finish(const engine_ptr& engine,
+void owner_service::finish(const owned_engine_ptr& engine,
                            const exchange_ptr& exchange,
                            const served_result& result)
 {
@@ -666,7 +437,7 @@
     poll(engine, now);
 }
 
-void owner_service::publish_load(const engine_ptr& engine)
+void owner_service::publish_load(const owned_engine_ptr& engine)
 {
     membership::engine_load load;
     engine_id id;
--- a/libs/pipeline/src/owner_service.hpp
+++ b/libs/pipeline/src/owner_service.hpp
@@ -3,18 +3,15 @@
 
 #pragma once
 
+#include "engine_table.hpp"
 #include "fleet.hpp"
 #include "served_exchange.hpp"
 #include "shared_directory.hpp"
 
-#include <limpet/admission/dispatcher.hpp>
 #include <limpet/claims/dispatch_ledger.hpp>
-#include <limpet/config/config_view.hpp>
-#include <limpet/placement/load_bound.hpp>
 
 #include <memory>
 #include <mutex>
-#include <shared_mutex>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -70,9 +67,6 @@
     std::vector<engine_status> engines() const;
 
 private:
-    struct owned_engine;
-    struct model_bound;
-    using engine_ptr = std::shared_ptr<owned_engine>;
     using exchange_ptr = std::shared_ptr<served_exchange>;
 
     void
@@ -87,22 +81,16 @@
     bool register_exchange(const exchange_ptr& exchange);
     void forget(const request_id& key);
     exchange_ptr find_exchange(const request_id& key) const;
-    engine_ptr find_engine(const engine_id& engine) const;
-    engine_ptr find_or_add_engine(const membership::engine_record& record,
-                                  time_point now);
-    std::shared_ptr<model_bound> bound_of(const model_id& model);
-    void refresh_bounds(time_point now);
     void release(const engine_id& engine, time_point now);
-    void poll(const engine_ptr& engine, time_point now);
-    void apply_ownership(owned_engine& engine, time_point now);
-    void forget_gone_engines();
-    void carry_out(const engine_ptr& engine,
+    void poll(const owned_engine_ptr& engine, time_point now);
+    void poll_all(time_point now);
+    void carry_out(const owned_engine_ptr& engine,
                    const std::vector<admission::dispatch_action>& actions);
-    void start(const engine_ptr& engine, const exchange_ptr& exchange);
-    void finish(const engine_ptr& engine,
+    void start(const owned_engine_ptr& engine, const exchange_ptr& exchange);
+    void finish(const owned_engine_ptr& engine,
                 const exchange_ptr& exchange,
                 const served_result& result);
-    void publish_load(const engine_ptr& engine);
+    void publish_load(const owned_engine_ptr& engine);
     placement::chat_holders holders_of(const open_message& request,
                                        time_point now) const;
     std::vector<chat_hint> hints_for(const open_message& request) const;
@@ -115,11 +103,7 @@
     std::shared_ptr<fleet> m_fleet;
     std::shared_ptr<shared_directory> m_directory;
 
-    mutable std::shared_mutex m_engines_mutex;
-    std::unordered_map<engine_id, engine_ptr> m_engines;
-    std::unordered_map<model_id, std::shared_ptr<model_bound>> m_bounds;
-    std::shared_ptr<const admission::share_table> m_shares;
-    config::view_ptr m_config;
+    engine_table m_engines;
 
     mutable std::mutex m_exchanges_mutex;
     std::unordered_map<request_id, exchange_ptr> m_exchanges;
--- a/libs/pipeline/src/router.cpp
+++ b/libs/pipeline/src/router.cpp
@@ -137,9 +137,9 @@
         wire::link_handlers handlers;
         handlers.on_frame = [this](const wire::link_identity& from,
                                    wire::channel kind,
-                                   std::string payload)
+                                   const std::string& payload)
         {
-            take_frame(from, kind, std::move(payload));
+            take_frame(from, kind, payload);
         };
         handlers.on_lost = [this](const vm_id& peer)
         {
@@ -266,7 +266,7 @@
 
     void take_frame(const wire::link_identity& from,
                     wire::channel kind,
-                    std::string payload)
+                    const std::string& payload)
     {
         if (!m_links_ready)
         {
