--- a/libs/claims/src/claim_snapshot.cpp
+++ b/libs/claims/src/claim_snapshot.cpp
@@ -167,7 +167,9 @@
 
 status claim_table::load_slice(std::string_view bytes)
 {
-    const auto* from = verified_root<fb::Slice>(bytes);
+    // Structs are read in place, so their bytes must be aligned.
+    const std::string aligned(bytes);
+    const auto* from = verified_root<fb::Slice>(aligned);
     if (from == nullptr || from->outcomes() == nullptr)
     {
         return malformed;
@@ -186,7 +188,8 @@
 
 status claim_table::load(std::string_view bytes)
 {
-    const auto* from = verified_root<fb::Entry>(bytes);
+    const std::string aligned(bytes);
+    const auto* from = verified_root<fb::Entry>(aligned);
     if (from == nullptr || from->state() > fb::EntryState::MAX ||
         from->queue() > fb::Queue::MAX)
     {
--- a/libs/config/src/operator_read.cpp
+++ b/libs/config/src/operator_read.cpp
@@ -203,7 +203,8 @@
             &reader::add_objects<service_route>,
         };
         boost::json::array out;
-        (this->*add[static_cast<std::size_t>(kind)])(out);
+        const add_function chosen = add[static_cast<std::size_t>(kind)];
+        (this->*chosen)(out);
         std::sort(
             out.begin(),
             out.end(),
--- a/libs/pipeline/src/served_exchange.cpp
+++ b/libs/pipeline/src/served_exchange.cpp
@@ -47,6 +47,28 @@
         .starts_with(event_stream_type);
 }
 
+/// Clears a callback at the end of a scope. The callback holds the exchange
+/// that holds it, so both would stay for ever.
+class callback_reset
+{
+public:
+    explicit callback_reset(std::function<void()>& callback)
+        : m_callback(callback)
+    {
+    }
+
+    ~callback_reset()
+    {
+        m_callback = nullptr;
+    }
+
+    callback_reset(const callback_reset&) = delete;
+    callback_reset& operator=(const callback_reset&) = delete;
+
+private:
+    std::function<void()>& m_callback;
+};
+
 finish_message broken(error reason)
 {
     finish_message message;
@@ -93,6 +115,7 @@
                      std::function<void()> on_first_token)
 {
     m_on_first_token = std::move(on_first_token);
+    const callback_reset reset(m_on_first_token);
     if (m_cancelled)
     {
         finish_not_run({error_code::cancelled, "caller gave up"}, {}, {});
