--- a/libs/pipeline/src/exchange_codec.cpp
+++ b/libs/pipeline/src/exchange_codec.cpp
@@ -226,10 +226,16 @@
     {
         return std::nullopt;
     }
-    return finish_message{table.sequence(),
-                          *result,
-                          error{*code, table.message()->str()},
-                          milliseconds(table.retry_after_ms())};
+    finish_message value;
+    value.sequence = table.sequence();
+    value.result = *result;
+    value.reason = error{*code, table.message()->str()};
+    value.retry_after = milliseconds(table.retry_after_ms());
+    for (const fbs::holder* held : *table.holders())
+    {
+        value.holders.push_back(read_holder(*held));
+    }
+    return value;
 }
 
 std::optional<exchange_content> read_state(const fbs::state& table)
