The stand-in's test fixture ends its threads before its members go

Cause: found by the address sanitizer: a late report reached the fixture while it was destroyed.

Measured: standin_test passes under the address and undefined sanitizers and three times without; before, a heap use after free. wire_test and local_fleet_test pass under the thread sanitizer without a report.

--- a/libs/http/test/loopback.hpp
+++ b/libs/http/test/loopback.hpp
@@ -49,6 +49,13 @@
     }
 
     ~loopback()
+    {
+        stop();
+    }
+
+    /// Ends the threads. A derived fixture whose members the handler uses
+    /// calls it in its destructor, before they are destroyed.
+    void stop()
     {
         if (listening)
         {
@@ -60,6 +67,7 @@
         {
             thread.join();
         }
+        threads.clear();
     }
 
     /// Listens at a free port.
--- a/libs/standin/test/server_group_test.cpp
+++ b/libs/standin/test/server_group_test.cpp
@@ -70,6 +70,7 @@
     ~servers_fixture()
     {
         servers->close();
+        stop();
     }
 
     boost::asio::awaitable<void> take_report(http::exchange& call)
