Drop a share nobody reads; one test of whether an answer is a stream

Cause: found on a last read. The open message carried a team's share, which owners take from the configuration since guarantees and team shares count. Owner and entry each had the same function for telling a stream by its media type.

Conclusion: behaviour is as it was; the message is 4 bytes shorter.

--- a/libs/pipeline/include/limpet/pipeline/exchange_message.hpp
+++ b/libs/pipeline/include/limpet/pipeline/exchange_message.hpp
@@ -32,7 +32,6 @@
     model_id model;
     std::uint8_t priority = 0;
     std::uint32_t cost_tokens = 0;
-    std::uint32_t share_weight = 1;
     bool repeatable = false;
     bool stream = false;
     /// Whether this is the request's first try, which may be sent on to an
--- a/libs/pipeline/src/answer_writer.cpp
+++ b/libs/pipeline/src/answer_writer.cpp
@@ -10,7 +10,6 @@
 namespace
 {
 
-constexpr std::string_view event_stream_type = "text/event-stream";
 /// Longest answer that is held back until it is whole.
 constexpr std::size_t max_kept_bytes = 1024 * 1024;
 /// Longest body that is recorded for requests with an idempotency key.
@@ -18,12 +17,6 @@
 /// Outcome in the head of a stream, whose regular end means that it is whole.
 constexpr std::string_view streaming_outcome = "streaming";
 
-bool is_event_stream(const http::response_head& head)
-{
-    return head.headers.value_or_empty(headers::content_type)
-        .starts_with(event_stream_type);
-}
-
 } // namespace
 
 net::awaitable<status> answer_writer::head(const http::response_head& head)
--- a/libs/pipeline/src/attempt.cpp
+++ b/libs/pipeline/src/attempt.cpp
@@ -151,7 +151,6 @@
     open.model = m_context.model;
     open.priority = m_context.priority;
     open.cost_tokens = m_context.prompt_tokens;
-    open.share_weight = m_context.team_share;
     open.repeatable = m_context.repeatable;
     const auto* chat = std::get_if<chat_call>(&m_context.call);
     open.stream = chat != nullptr && chat->stream;
--- a/libs/pipeline/src/exchange_codec.cpp
+++ b/libs/pipeline/src/exchange_codec.cpp
@@ -82,7 +82,6 @@
                                builder.CreateString(value.model.get()),
                                value.priority,
                                value.cost_tokens,
-                               value.share_weight,
                                value.repeatable,
                                value.stream,
                                value.is_first,
@@ -191,7 +190,6 @@
     value.model = model_id(table.model()->str());
     value.priority = table.priority();
     value.cost_tokens = table.cost_tokens();
-    value.share_weight = table.share_weight();
     value.repeatable = table.repeatable();
     value.stream = table.stream();
     value.is_first = table.is_first();
--- a/libs/pipeline/src/filters.cpp
+++ b/libs/pipeline/src/filters.cpp
@@ -124,7 +124,6 @@
 {
     context.priority = static_cast<std::uint8_t>(
         highest_priority - std::min(parameters.priority(), highest_priority));
-    context.team_share = parameters.share();
     context.max_open_requests = parameters.max_open_requests();
     context.queue_time = parameters.queue_time();
     context.deadline = context.received_at + parameters.deadline();
--- a/libs/pipeline/src/headers.hpp
+++ b/libs/pipeline/src/headers.hpp
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include <limpet/http/message.hpp>
+
 #include <string_view>
 
 namespace limpet::pipeline::headers
@@ -28,3 +30,15 @@
 inline constexpr std::string_view retry_after_ms = "Limpet-Retry-After-Ms";
 
 } // namespace limpet::pipeline::headers
+
+namespace limpet::pipeline
+{
+
+/// Returns whether the answer is a stream of server-sent events.
+inline bool is_event_stream(const http::response_head& head)
+{
+    return head.headers.value_or_empty(headers::content_type)
+        .starts_with("text/event-stream");
+}
+
+} // namespace limpet::pipeline
--- a/libs/pipeline/src/request_context.hpp
+++ b/libs/pipeline/src/request_context.hpp
@@ -70,7 +70,6 @@
     config::view_ptr config;
     partner_id partner;
     team_id team;
-    std::uint32_t team_share = 1;
     std::uint32_t max_open_requests = 0;
 
     std::variant<chat_call, service_call> call;
--- a/libs/pipeline/src/served_exchange.cpp
+++ b/libs/pipeline/src/served_exchange.cpp
@@ -19,7 +19,6 @@
 {
 
 constexpr std::size_t max_event_bytes = 1024 * 1024;
-constexpr std::string_view event_stream_type = "text/event-stream";
 
 /// Fields that belong to one connection and are not passed on.
 constexpr std::array<std::string_view, 5> hop_fields = {
@@ -41,12 +40,6 @@
            (status >= status_bad_gateway && status <= status_gateway_timeout);
 }
 
-bool is_event_stream(const http::response_head& head)
-{
-    return head.headers.value_or_empty(headers::content_type)
-        .starts_with(event_stream_type);
-}
-
 /// Clears a callback at the end of a scope. The callback holds the exchange
 /// that holds it, so both would stay for ever.
 class callback_reset
