Groups may be founded by seeds and joined by VMs that nobody listed

Cause: on the platform a replica is told three seeds and nothing else, so neither the list of members nor an operator's repair exists there.

A node may be barred from founding (an empty disk may be a lost one), accepts joins of any VM, learns further VMs to ask, and a caught-up newcomer takes the place of a voter that was silent for over the limit.

Tests: seeded_group_test (founding in any order, one seed down, no founding without leave, stale seeds, three losses in a row, a short absence).

--- a/libs/consensus/include/limpet/consensus/event.hpp
+++ b/libs/consensus/include/limpet/consensus/event.hpp
@@ -76,6 +76,12 @@
 {
 };
 
+/// VMs that may belong to the group. A node without a group asks them too.
+struct contacts_learned
+{
+    std::vector<vm_id> vms;
+};
+
 using event = std::variant<tick,
                            message_received,
                            propose,
@@ -83,7 +89,8 @@
                            read_barrier,
                            persisted,
                            compact,
-                           hand_over>;
+                           hand_over,
+                           contacts_learned>;
 
 /// What to make durable, in this order: the hard state, the entries, the
 /// snapshot. Requests must be carried out in the order of their numbers.
--- a/libs/consensus/include/limpet/consensus/node.hpp
+++ b/libs/consensus/include/limpet/consensus/node.hpp
@@ -33,6 +33,11 @@
     /// All VMs that may form the group, this one included. When none of them
     /// has any state, the one with the lowest id founds the group.
     std::vector<vm_id> group;
+    /// Whether this node may found the group. False where an empty storage
+    /// may be one that was lost.
+    bool may_found = true;
+    /// Whether VMs outside the group may join it as well.
+    bool accepts_any_vm = false;
     /// What the storage holds; entries and base may be empty.
     storage::recovered_state state;
     /// State of the state machine that a newly founded group begins with.
--- a/libs/consensus/include/limpet/consensus/settings.hpp
+++ b/libs/consensus/include/limpet/consensus/settings.hpp
@@ -34,6 +34,10 @@
     /// Whether the leader adds replicas that ask to join, removes a former
     /// incarnation of the same VM and promotes learners once caught up.
     bool automatic_repair = true;
+    /// A voter unheard of for this long gives its place to a learner of
+    /// another VM that caught up; 0 keeps it until it is removed by hand.
+    /// Longer than a restart with recovery takes.
+    duration lost_voter_timeout{};
 
     /// Returns how long a leader may answer reads after the start of a round
     /// that a quorum acknowledged. Shorter than the election timeout by what
--- a/libs/consensus/src/node.cpp
+++ b/libs/consensus/src/node.cpp
@@ -90,6 +90,8 @@
     : m_settings(options),
       m_self{start.self, start.state.storage},
       m_group(std::move(start.group)),
+      m_may_found(start.may_found),
+      m_accepts_any_vm(start.accepts_any_vm),
       m_initial_data(std::move(start.initial_data)),
       m_random(start.seed),
       m_now(now),
--- a/libs/consensus/src/node_impl.hpp
+++ b/libs/consensus/src/node_impl.hpp
@@ -85,6 +85,7 @@
     void operator()(const persisted& what);
     void operator()(compact& what);
     void operator()(const hand_over& what);
+    void operator()(const contacts_learned& what);
 
 private:
     struct message_handler;
@@ -153,6 +154,7 @@
     bool keeps_quorum(const membership& members) const;
     bool propose_change(ticket id, const membership_change& change);
     void on_join(const message& from);
+    std::optional<replica_id> lost_voter() const;
     void repair_members();
     void update_followers();
     void ask_to_join();
@@ -166,6 +168,10 @@
     settings m_settings;
     replica_id m_self;
     std::vector<vm_id> m_group;
+    bool m_may_found;
+    bool m_accepts_any_vm;
+    /// VMs outside m_group that may know the group.
+    std::set<vm_id> m_contacts;
     std::optional<std::string> m_initial_data;
     random_source m_random;
     time_point m_now;
--- a/libs/consensus/src/node_members.cpp
+++ b/libs/consensus/src/node_members.cpp
@@ -108,6 +108,7 @@
 {
     const replica_id& id = from.from;
     const bool is_listed =
+        m_accepts_any_vm ||
         std::find(m_group.begin(), m_group.end(), id.vm) != m_group.end();
     if (!is_listed || id.vm == m_self.vm)
     {
@@ -133,6 +134,36 @@
     propose_change(no_ticket, {change_kind::add_learner, id});
 }
 
+/// Returns the voter that has been silent for longest, if for longer than
+/// the limit.
+std::optional<replica_id> node::impl::lost_voter() const
+{
+    const duration limit = m_settings.lost_voter_timeout;
+    if (limit == duration::zero() || m_now < m_led_since + limit)
+    {
+        return std::nullopt;
+    }
+    std::optional<replica_id> lost;
+    round_number last{};
+    for (const auto& [id, progress] : m_followers)
+    {
+        const bool is_silent =
+            members().is_voter(id) && !is_round_in_time(progress.acked, limit);
+        if (is_silent && (!lost || progress.acked < last))
+        {
+            lost = id;
+            last = progress.acked;
+        }
+    }
+    return lost;
+}
+
+void node::impl::operator()(const contacts_learned& what)
+{
+    m_contacts.insert(what.vms.begin(), what.vms.end());
+    m_contacts.erase(m_self.vm);
+}
+
 /// Promotes learners that caught up. A former incarnation on the same VM
 /// lost its disk and is removed first, so that it never counts as well.
 void node::impl::repair_members()
@@ -147,7 +178,11 @@
         {
             continue;
         }
-        const auto former = members().other_incarnation(id);
+        auto former = members().other_incarnation(id);
+        if (!former)
+        {
+            former = lost_voter();
+        }
         const membership_change change =
             former ? membership_change{change_kind::remove, *former}
                    : membership_change{change_kind::promote, id};
@@ -166,12 +201,12 @@
         return;
     }
     m_next_join = m_now + join_intervals * m_settings.heartbeat_interval;
-    for (const vm_id& vm : m_group)
+    std::set<vm_id> asked(m_group.begin(), m_group.end());
+    asked.insert(m_contacts.begin(), m_contacts.end());
+    asked.erase(m_self.vm);
+    for (const vm_id& vm : asked)
     {
-        if (vm != m_self.vm)
-        {
-            send({vm, incarnation{}}, join_request{});
-        }
+        send({vm, incarnation{}}, join_request{});
     }
 }
 
@@ -189,7 +224,7 @@
         std::any_of(m_group.begin(), m_group.end(), is_other);
     const bool is_first =
         m_self.vm == *std::min_element(m_group.begin(), m_group.end());
-    if (!is_empty || has_unknown || !is_first)
+    if (!m_may_found || !is_empty || has_unknown || !is_first)
     {
         return;
     }
--- /dev/null
+++ b/libs/consensus/test/seeded_group_test.cpp
@@ -0,0 +1,225 @@
+/// Groups whose members are not listed: founded by the seeds, joined by all
+/// others, with the lost replaced by newcomers.
+
+#include <limpet/consensus/node.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <map>
+#include <set>
+
+using namespace limpet;
+using namespace limpet::consensus;
+
+namespace
+{
+
+constexpr duration tick_length = milliseconds(50);
+
+/// Nodes with disks that never fail, joined by a network that loses what is
+/// sent to a node that is down.
+struct seeded_group
+{
+    std::map<vm_id, node> nodes;
+    std::set<vm_id> down;
+    std::deque<message> sent;
+    std::map<vm_id, std::vector<request_result>> results;
+    time_point now{seconds(100)};
+    settings options;
+
+    seeded_group()
+    {
+        options.lost_voter_timeout = seconds(3);
+    }
+
+    void start(const std::string& name,
+               std::vector<vm_id> seeds,
+               bool may_found,
+               std::uint64_t storage = 1)
+    {
+        node_start begin;
+        begin.self = vm_id(name);
+        begin.group = std::move(seeds);
+        begin.may_found = may_found;
+        begin.accepts_any_vm = true;
+        begin.state.storage = incarnation(storage);
+        begin.seed = std::hash<std::string>{}(name) + storage;
+        node made(options, std::move(begin), now);
+        nodes.insert_or_assign(vm_id(name), std::move(made));
+        down.erase(vm_id(name));
+    }
+
+    void carry_out(const vm_id& vm, actions work)
+    {
+        for (message& each : work.sends)
+        {
+            sent.push_back(std::move(each));
+        }
+        for (const request_result& each : work.results)
+        {
+            results[vm].push_back(each);
+        }
+        if (!work.persists.empty())
+        {
+            step(vm, persisted{work.persists.back().number});
+        }
+    }
+
+    void step(const vm_id& vm, event what)
+    {
+        carry_out(vm, nodes.at(vm).step(now, std::move(what)));
+    }
+
+    void deliver()
+    {
+        while (!sent.empty())
+        {
+            message next = std::move(sent.front());
+            sent.pop_front();
+            const vm_id to = next.to.vm;
+            if (nodes.contains(to) && !down.contains(to) &&
+                !down.contains(next.from.vm))
+            {
+                step(to, message_received{std::move(next)});
+            }
+        }
+    }
+
+    void run_for(duration span)
+    {
+        const time_point end = now + span;
+        while (now < end)
+        {
+            now += tick_length;
+            for (auto& [vm, each] : nodes)
+            {
+                if (!down.contains(vm))
+                {
+                    step(vm, tick{});
+                }
+            }
+            deliver();
+        }
+    }
+
+    std::vector<vm_id> leaders() const
+    {
+        std::vector<vm_id> result;
+        for (const auto& [vm, each] : nodes)
+        {
+            if (!down.contains(vm) && each.view(now).role == node_role::leader)
+            {
+                result.push_back(vm);
+            }
+        }
+        return result;
+    }
+
+    std::size_t voters() const
+    {
+        return nodes.at(leaders().at(0)).view(now).members.voters();
+    }
+};
+
+std::vector<vm_id> seeds_abc()
+{
+    return {vm_id("a"), vm_id("b"), vm_id("c")};
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(seeded_groups, seeded_group)
+
+BOOST_AUTO_TEST_CASE(seeds_found_one_group_and_other_vm_joins_as_voter)
+{
+    start("d", seeds_abc(), false);
+    run_for(seconds(1));
+    for (const char* name : {"c", "b", "a"})
+    {
+        start(name, seeds_abc(), true);
+        run_for(milliseconds(100));
+    }
+    run_for(seconds(10));
+    BOOST_REQUIRE(leaders().size() == 1U);
+    BOOST_TEST(voters() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(seeds_that_may_not_found_wait)
+{
+    for (const char* name : {"a", "b", "c"})
+    {
+        start(name, seeds_abc(), false);
+    }
+    run_for(seconds(30));
+    BOOST_TEST(leaders().empty());
+}
+
+BOOST_AUTO_TEST_CASE(seed_down_at_first_start_founds_nothing_without_it)
+{
+    start("a", seeds_abc(), true);
+    start("b", seeds_abc(), true);
+    run_for(seconds(20));
+    BOOST_TEST(leaders().empty());
+    start("c", seeds_abc(), true);
+    run_for(seconds(10));
+    BOOST_TEST(leaders().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(newcomer_with_stale_seeds_joins_through_contacts)
+{
+    for (const char* name : {"a", "b", "c"})
+    {
+        start(name, seeds_abc(), true);
+    }
+    run_for(seconds(10));
+    start("d", {vm_id("gone")}, false);
+    run_for(seconds(5));
+    BOOST_TEST(voters() == 3U);
+    step(vm_id("d"), contacts_learned{seeds_abc()});
+    run_for(seconds(5));
+    BOOST_TEST(voters() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(newcomer_takes_the_place_of_a_lost_voter)
+{
+    for (const char* name : {"a", "b", "c"})
+    {
+        start(name, seeds_abc(), true);
+    }
+    run_for(seconds(10));
+    for (int round = 0; round < 3; ++round)
+    {
+        const auto alive = leaders();
+        BOOST_REQUIRE(alive.size() == 1U);
+        down.insert(alive.front());
+        run_for(seconds(10));
+        start("e" + std::to_string(round), seeds_abc(), false);
+        for (const auto& [vm, each] : nodes)
+        {
+            step(vm_id("e" + std::to_string(round)), contacts_learned{{vm}});
+        }
+        run_for(seconds(10));
+        BOOST_REQUIRE(leaders().size() == 1U);
+        BOOST_TEST(voters() == 3U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(voter_that_was_down_briefly_keeps_its_place)
+{
+    for (const char* name : {"a", "b", "c"})
+    {
+        start(name, seeds_abc(), true);
+    }
+    run_for(seconds(10));
+    const vm_id away =
+        leaders().front() == vm_id("a") ? vm_id("b") : vm_id("a");
+    down.insert(away);
+    run_for(seconds(2));
+    down.erase(away);
+    start("d", seeds_abc(), false);
+    run_for(seconds(10));
+    BOOST_TEST(voters() == 4U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/replica/include/limpet/replica/replica.hpp
+++ b/libs/replica/include/limpet/replica/replica.hpp
@@ -31,6 +31,10 @@
     /// is founded only when every one of them has an empty data folder.
     vm_id self;
     std::vector<vm_id> group;
+    /// Whether this replica may found the group, and whether VMs outside it
+    /// may join; see consensus::node_start.
+    bool may_found = true;
+    bool accepts_any_vm = false;
     /// Existing folder for the log and snapshots.
     std::string folder;
     /// State that a new group begins with, as save() returned it: a backup.
@@ -133,6 +137,9 @@
     /// counted and dropped.
     void receive(const vm_id& from, const std::vector<std::uint8_t>& bytes);
 
+    /// Names VMs that may belong to the group, for a replica without one.
+    void learn_contacts(std::vector<vm_id> vms);
+
     /// Adds a replica that receives the log but does not vote.
     void add_learner(replica_id id, status_callback done);
 
--- a/libs/replica/src/replica.cpp
+++ b/libs/replica/src/replica.cpp
@@ -39,6 +39,11 @@
     m_impl->propose(std::move(command), std::move(done));
 }
 
+void replica::learn_contacts(std::vector<vm_id> vms)
+{
+    m_impl->learn_contacts(std::move(vms));
+}
+
 void replica::read_barrier(status_callback done)
 {
     m_impl->read_barrier(std::move(done));
--- a/libs/replica/src/replica_impl.cpp
+++ b/libs/replica/src/replica_impl.cpp
@@ -110,6 +110,8 @@
     }
     begin.self = m_settings.self;
     begin.group = m_settings.group;
+    begin.may_found = m_settings.may_found;
+    begin.accepts_any_vm = m_settings.accepts_any_vm;
     begin.initial_data = m_settings.initial_data;
     begin.seed = random_seed();
     m_node = std::make_unique<consensus::node>(
@@ -196,6 +198,11 @@
     run(std::move(batch));
 }
 
+void replica::impl::learn_contacts(std::vector<vm_id> vms)
+{
+    run(consensus::contacts_learned{std::move(vms)});
+}
+
 void replica::impl::read_barrier(status_callback done)
 {
     if (m_stopped)
--- a/libs/replica/src/replica_impl.hpp
+++ b/libs/replica/src/replica_impl.hpp
@@ -32,6 +32,7 @@
 
     void start();
     void propose(std::string command, proposal_callback done);
+    void learn_contacts(std::vector<vm_id> vms);
     void read_barrier(status_callback done);
     void receive(const vm_id& from, const std::vector<std::uint8_t>& bytes);
     void change(consensus::membership_change change, status_callback done);
