A server winds down without dropping a request that was just read

Cause: closing idle connections met a request whose bytes had been read but whose coroutine had not resumed; the router then served a caller whose connection it had closed.

An idle connection's read is cancelled instead, which a finished read survives, and wind_down() lets answers end their connections while new ones are taken.

The event splitter moves from pipeline to http, as the gateway needs it too.

--- a/libs/pipeline/src/event_splitter.hpp
+++ b/libs/http/include/limpet/http/event_splitter.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <string_view>
 
-namespace limpet::pipeline
+namespace limpet::http
 {
 
 /// Whole events that a part of a stream completed.
@@ -56,4 +56,4 @@
     bool m_done = false;
 };
 
-} // namespace limpet::pipeline
+} // namespace limpet::http
--- a/libs/http/include/limpet/http/server.hpp
+++ b/libs/http/include/limpet/http/server.hpp
@@ -97,6 +97,13 @@
     /// Returns the address in use.
     virtual boost::asio::ip::tcp::endpoint local_endpoint() const = 0;
 
+    /// Lets each answer from now on end its connection, so that callers go
+    /// elsewhere. Still accepts. Thread-safe.
+    virtual void wind_down() = 0;
+
+    /// Closes connections that have no request. Thread-safe.
+    virtual void close_idle() = 0;
+
     /// Stops accepting; open connections end after the answer under way.
     /// Thread-safe.
     virtual void stop_accepting() = 0;
--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -103,7 +103,8 @@
         }
         release_spare_memory();
         co_await handle();
-        if (m_answer != answer_state::complete || !m_keep_alive)
+        if (m_answer != answer_state::complete || !m_keep_alive ||
+            m_core->winding_down)
         {
             break;
         }
@@ -139,9 +140,13 @@
     boost::asio::post(m_socket.get_executor(),
                       [self = shared_from_this()]
                       {
-                          if (self->m_idle)
+                          // Ends the wait for a request, unless one has
+                          // arrived, be it in the socket or already read.
+                          if (self->m_idle &&
+                              peek(self->m_socket) != peek_result::data)
                           {
-                              self->close();
+                              boost::system::error_code ignored;
+                              self->m_socket.cancel(ignored);
                           }
                       });
 }
@@ -439,7 +444,7 @@
 
 void connection::append_connection_field(std::string& text) const
 {
-    if (!m_keep_alive || m_core->stopping)
+    if (!m_keep_alive || m_core->winding_down)
     {
         append_field(text, "Connection", "close");
     }
--- a/libs/pipeline/src/event_splitter.cpp
+++ b/libs/http/src/event_splitter.cpp
@@ -1,10 +1,10 @@
-#include "event_splitter.hpp"
+#include <limpet/http/event_splitter.hpp>
 
 #include <algorithm>
 #include <charconv>
 #include <optional>
 
-namespace limpet::pipeline
+namespace limpet::http
 {
 
 namespace
@@ -132,4 +132,4 @@
     return success();
 }
 
-} // namespace limpet::pipeline
+} // namespace limpet::http
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -164,6 +164,16 @@
         return m_listener->endpoint();
     }
 
+    void wind_down() override
+    {
+        m_core->winding_down = true;
+    }
+
+    void close_idle() override
+    {
+        m_core->close_idle();
+    }
+
     void stop_accepting() override
     {
         m_listener->post_stop();
--- a/libs/http/src/server_core.cpp
+++ b/libs/http/src/server_core.cpp
@@ -61,6 +61,12 @@
         const std::lock_guard lock(m_mutex);
         stopping = true;
     }
+    winding_down = true;
+    close_idle();
+}
+
+void server_core::close_idle()
+{
     for (const auto& item : all())
     {
         item->post_close_if_idle();
--- a/libs/http/src/server_core.hpp
+++ b/libs/http/src/server_core.hpp
@@ -36,6 +36,9 @@
     /// Stops the server; connections without a request are closed.
     void stop();
 
+    /// Closes connections without a request.
+    void close_idle();
+
     /// Closes all connections.
     void close_all();
 
@@ -51,6 +54,8 @@
     const server_limits limits;
     const server::handler handle;
     std::atomic<bool> stopping = false;
+    /// Whether each answer ends its connection.
+    std::atomic<bool> winding_down = false;
     std::atomic<std::size_t> open_requests = 0;
     std::atomic<std::size_t> connections = 0;
 
--- a/libs/pipeline/test/event_splitter_test.cpp
+++ b/libs/http/test/event_splitter_test.cpp
@@ -1,13 +1,12 @@
-#include "event_splitter.hpp"
-
 #include <limpet/base/random.hpp>
+#include <limpet/http/event_splitter.hpp>
 
 #include <boost/test/unit_test.hpp>
 
 #include <string>
 
 using namespace limpet;
-using namespace limpet::pipeline;
+using namespace limpet::http;
 
 namespace
 {
--- a/libs/pipeline/src/served_exchange.cpp
+++ b/libs/pipeline/src/served_exchange.cpp
@@ -251,7 +251,7 @@
 
 net::awaitable<finish_message> served_exchange::relay_events()
 {
-    event_splitter splitter(m_open.resume_after, max_event_bytes);
+    http::event_splitter splitter(m_open.resume_after, max_event_bytes);
     for (;;)
     {
         auto read = co_await m_answer->read_some();
@@ -269,7 +269,7 @@
         {
             co_return broken(error_of(fed));
         }
-        event_batch& batch = value_of(fed);
+        http::event_batch& batch = value_of(fed);
         if (batch.bytes.empty())
         {
             continue;
--- a/libs/pipeline/src/served_exchange.hpp
+++ b/libs/pipeline/src/served_exchange.hpp
@@ -3,9 +3,8 @@
 
 #pragma once
 
-#include "event_splitter.hpp"
-
 #include <limpet/http/client.hpp>
+#include <limpet/http/event_splitter.hpp>
 #include <limpet/pipeline/exchange_message.hpp>
 #include <limpet/wire/link_hub.hpp>
 
