--- a/libs/control/include/limpet/control/control_server.hpp
+++ b/libs/control/include/limpet/control/control_server.hpp
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <limpet/control/control_settings.hpp>
+#include <limpet/control/fleet_orders.hpp>
+#include <limpet/http/server.hpp>
 
 #include <boost/asio/io_context.hpp>
 
@@ -13,6 +15,10 @@
 namespace limpet::control
 {
 
+/// Makes the handler of the operators' address in place of the project's own
+/// interface.
+using interface_factory = std::function<http::server::handler(fleet_orders&)>;
+
 /// Keeps the configuration, takes operators' commands and gives routers the
 /// configuration in force. Runs on one io_context with one thread.
 class control_server
@@ -23,7 +29,8 @@
     static outcome<std::unique_ptr<control_server>>
     create(boost::asio::io_context& context,
            const control_settings& settings,
-           std::function<void()> on_failed);
+           std::function<void()> on_failed,
+           const interface_factory& make_interface = nullptr);
 
     virtual ~control_server() = default;
 
--- a/libs/control/include/limpet/control/control_settings.hpp
+++ b/libs/control/include/limpet/control/control_settings.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/json.hpp>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,18 @@
     std::string group_name = "limpet";
     /// The other replicas of the group.
     std::vector<replica_peer> group;
+    /// How this replica finds the group where nobody lists its members. Then
+    /// replicas are named by their IP number and all use one peers' port.
+    struct discovery
+    {
+        /// Operators' addresses of replicas that may know the group.
+        std::vector<boost::asio::ip::tcp::endpoint> seeds;
+        /// Whether the whole fleet starts for the first time.
+        bool first_start = false;
+        /// Time between two signs of life of a backend server.
+        duration sign_of_life_period = seconds(1);
+    };
+    std::optional<discovery> found_by;
     /// Folder for the log and snapshots.
     std::string data_folder;
     log_level log = log_level::info;
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -1,6 +1,8 @@
+#include "await_callback.hpp"
 #include "claims_service.hpp"
 #include "config_source.hpp"
 #include "control_state.hpp"
+#include "directory_feed.hpp"
 #include "operator_service.hpp"
 #include "wall_clock.hpp"
 
@@ -12,6 +14,9 @@
 #include <limpet/replica/replica.hpp>
 #include <limpet/wire/link_hub.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace limpet::control
 {
 
@@ -20,15 +25,26 @@
 namespace
 {
 
-class running_server final : public control_server
+/// Time after which a silent link is replaced. Several round trips between
+/// data centres; changes must reach routers well within two seconds.
+constexpr duration link_timeout = milliseconds(1000);
+/// Longest pause between two attempts to reach a peer.
+constexpr duration link_retry = milliseconds(500);
+/// Time after which a lost voter is replaced by a VM that joined. Longer than
+/// a process takes to start again and catch up.
+constexpr duration lost_voter_timeout = seconds(3);
+
+class running_server final : public control_server, private fleet_orders
 {
 public:
     running_server(net::io_context& context,
                    control_settings settings,
-                   std::function<void()> on_failed)
+                   std::function<void()> on_failed,
+                   const interface_factory& make_interface)
         : m_context(context),
           m_settings(std::move(settings)),
           m_on_failed(std::move(on_failed)),
+          m_make_interface(make_interface),
           m_state(stable_hash(m_settings.group_name))
     {
     }
@@ -54,6 +70,10 @@
         {
             return opened;
         }
+        if (m_settings.found_by)
+        {
+            start_feed();
+        }
         m_replica->start();
         log_event(
             log_level::info,
@@ -68,6 +88,10 @@
     {
         m_server->stop_accepting();
         m_draining = true;
+        if (m_feed)
+        {
+            m_feed->stop();
+        }
         m_replica->stop(
             [call = std::move(on_drained)](const status&)
             {
@@ -96,13 +120,24 @@
         {
             take_frame(from, kind, payload);
         };
-        handlers.on_lost = [](const vm_id&) {};
+        handlers.on_lost = [this](const vm_id& peer)
+        {
+            log_event(log_level::warn, "peer.lost", {{"peer", peer.get()}});
+            if (m_feed)
+            {
+                m_feed->on_lost(peer);
+            }
+        };
         const wire::link_identity self{m_settings.vm,
                                        m_settings.data_centre,
                                        incarnation(unix_ms()),
                                        http::to_string(m_settings.peers)};
+        wire::link_settings links;
+        links.connect_timeout = link_timeout;
+        links.silence_timeout = link_timeout;
+        links.max_reconnect_delay = link_retry;
         auto hub = wire::link_hub::listen(
-            m_context, m_settings.peers, self, {}, std::move(handlers));
+            m_context, m_settings.peers, self, links, std::move(handlers));
         if (!is_ok(hub))
         {
             return error_of(hub);
@@ -124,6 +159,10 @@
         {
             settings.group.push_back(peer.vm);
         }
+        if (m_settings.found_by)
+        {
+            find_group(settings);
+        }
         settings.folder = m_settings.data_folder;
         auto opened = replica::replica::open(
             m_context, std::move(settings), make_callbacks());
@@ -135,6 +174,145 @@
         return success();
     }
 
+    /// Names the VMs that may form the group. Only those that every process
+    /// is told at the first start found it; all others join.
+    void find_group(replica::replica_settings& settings)
+    {
+        settings.group.clear();
+        for (const auto& seed : m_settings.found_by->seeds)
+        {
+            const vm_id vm(seed.address().to_string());
+            settings.group.push_back(vm);
+            know_replica(vm);
+        }
+        const bool is_seed = std::find(settings.group.begin(),
+                                       settings.group.end(),
+                                       m_settings.vm) != settings.group.end();
+        settings.may_found = is_seed && m_settings.found_by->first_start;
+        settings.accepts_any_vm = true;
+        settings.consensus.lost_voter_timeout = lost_voter_timeout;
+    }
+
+    /// Replicas are named by their IP number where nobody lists them.
+    void know_replica(const vm_id& vm)
+    {
+        boost::system::error_code failure;
+        const auto ip = net::ip::make_address(vm.get(), failure);
+        if (!failure && vm != m_settings.vm)
+        {
+            m_hub->set_peer(vm, {ip, m_settings.peers.port()});
+        }
+    }
+
+    void start_feed()
+    {
+        feed_callbacks callbacks;
+        callbacks.orders = [this]() -> const directory::intent*
+        {
+            // A follower may lag, and any replica does after a restart.
+            return m_replica->view().has_lease ? &m_state.orders() : nullptr;
+        };
+        callbacks.replicas = [this]
+        {
+            std::vector<vm_id> vms;
+            for (const replica::member_view& each : m_replica->view().members)
+            {
+                vms.push_back(each.id.vm);
+            }
+            return vms;
+        };
+        callbacks.on_contacts = [this](std::vector<vm_id> vms)
+        {
+            for (const vm_id& vm : vms)
+            {
+                know_replica(vm);
+            }
+            m_replica->learn_contacts(std::move(vms));
+        };
+        m_feed = std::make_unique<directory_feed>(
+            m_context,
+            m_hub,
+            m_settings.found_by->sign_of_life_period,
+            std::move(callbacks));
+        for (const auto& seed : m_settings.found_by->seeds)
+        {
+            m_feed->add_contact(vm_id(seed.address().to_string()));
+        }
+        for (const replica::member_view& each : m_replica->view().members)
+        {
+            know_replica(each.id.vm);
+            m_feed->add_contact(each.id.vm);
+        }
+        m_feed->start();
+    }
+
+    net::awaitable<status> submit(directory::command order) override
+    {
+        using result = outcome<replica::proposal_result>;
+        const std::string entry = make_entry(order);
+        // Named, as GCC 12 destroys temporaries of an awaited expression that
+        // capture objects twice.
+        const std::function<void(std::function<void(result)>)> propose =
+            [this, entry](std::function<void(result)> call)
+        {
+            m_replica->propose(entry, std::move(call));
+        };
+        const result done = co_await await_callback<result>(propose);
+        if (!is_ok(done))
+        {
+            co_return error_of(done);
+        }
+        log_event(log_level::info,
+                  "order.in_force",
+                  {{"kind", static_cast<int>(order.kind)},
+                   {"version", order.version.get()},
+                   {"data_centre", order.data_centre},
+                   {"index", value_of(done).index.get()},
+                   {"version_in_force", m_state.orders().version.get()}});
+        co_return success();
+    }
+
+    net::awaitable<outcome<std::shared_ptr<const directory::packed_text>>>
+    read_document() override
+    {
+        const status known = co_await await_callback<status>(
+            [this](std::function<void(status)> call)
+            {
+                m_replica->read_barrier(std::move(call));
+            });
+        if (!is_ok(known))
+        {
+            co_return error_of(known);
+        }
+        co_return m_state.orders().document;
+    }
+
+    directory::merge_result take(const directory::registration& news) override
+    {
+        return m_feed->take(news);
+    }
+
+    directory::merge_result leave(const engine_id& id) override
+    {
+        return m_feed->leave(id);
+    }
+
+    std::optional<net::ip::tcp::endpoint> leader() const override
+    {
+        const auto known = m_replica->view().leader;
+        boost::system::error_code failure;
+        if (!known || known->vm == m_settings.vm)
+        {
+            return std::nullopt;
+        }
+        const auto ip = net::ip::make_address(known->vm.get(), failure);
+        if (failure)
+        {
+            return std::nullopt;
+        }
+        return net::ip::tcp::endpoint(ip, m_settings.operators.port());
+    }
+
     replica::replica_callbacks make_callbacks()
     {
         replica::replica_callbacks callbacks;
@@ -169,14 +347,16 @@
 
     status open_server()
     {
-        auto server =
-            http::server::listen(m_context,
-                                 m_settings.operators,
-                                 {},
-                                 [this](http::exchange& caller)
-                                 {
-                                     return m_operators->handle(caller);
-                                 });
+        http::server::handler handle = [this](http::exchange& caller)
+        {
+            return m_operators->handle(caller);
+        };
+        if (m_make_interface && m_settings.found_by)
+        {
+            handle = m_make_interface(*this);
+        }
+        auto server = http::server::listen(
+            m_context, m_settings.operators, {}, std::move(handle));
         if (!is_ok(server))
         {
             return error_of(server);
@@ -199,6 +379,10 @@
         {
             m_replica->receive(from.vm, {payload.begin(), payload.end()});
         }
+        else if (kind == wire::channel::directory && m_feed)
+        {
+            m_feed->receive(from, payload);
+        }
         else if (kind == wire::channel::config)
         {
             m_source->receive(from.vm, payload, monotonic_clock::now());
@@ -215,6 +399,16 @@
         {
             m_source->publish(monotonic_clock::now());
         }
+        if (m_feed && !std::exchange(m_is_feed_due, true))
+        {
+            // Entries applied in one turn are told as one state.
+            net::post(m_context,
+                      [this]
+                      {
+                          m_is_feed_due = false;
+                          m_feed->orders_changed();
+                      });
+        }
     }
 
     void restore(std::string_view bytes)
@@ -238,14 +432,17 @@
     net::io_context& m_context;
     control_settings m_settings;
     std::function<void()> m_on_failed;
+    interface_factory m_make_interface;
     control_state m_state;
     std::shared_ptr<wire::link_hub> m_hub;
     std::unique_ptr<replica::replica> m_replica;
     std::unique_ptr<config_source> m_source;
+    std::unique_ptr<directory_feed> m_feed;
     std::unique_ptr<claims_service> m_claims;
     std::unique_ptr<operator_service> m_operators;
     std::unique_ptr<http::server> m_server;
     bool m_draining = false;
+    bool m_is_feed_due = false;
 };
 
 } // namespace
@@ -253,10 +450,11 @@
 outcome<std::unique_ptr<control_server>>
 control_server::create(net::io_context& context,
                        const control_settings& settings,
-                       std::function<void()> on_failed)
+                       std::function<void()> on_failed,
+                       const interface_factory& make_interface)
 {
     auto made = std::make_unique<running_server>(
-        context, settings, std::move(on_failed));
+        context, settings, std::move(on_failed), make_interface);
     const status started = made->start();
     if (!is_ok(started))
     {
--- a/libs/control/src/control_settings.cpp
+++ b/libs/control/src/control_settings.cpp
@@ -53,6 +53,39 @@
     return group;
 }
 
+std::optional<control_settings::discovery>
+read_discovery(settings_reader& reader)
+{
+    const boost::json::value* part = reader.child("discovery", false);
+    if (part == nullptr)
+    {
+        return std::nullopt;
+    }
+    settings_reader item(*part, reader.path_of("discovery"));
+    control_settings::discovery found;
+    for (const std::string& seed : item.texts_or_empty("seeds"))
+    {
+        const auto parsed = http::parse_endpoint(seed);
+        if (!is_ok(parsed))
+        {
+            item.fail("seeds", error_of(parsed).message);
+            break;
+        }
+        found.seeds.push_back(value_of(parsed));
+    }
+    found.first_start = item.flag_or("first_start", false);
+    found.sign_of_life_period = item.milliseconds_or("sign_of_life_period_ms",
+                                                     found.sign_of_life_period,
+                                                     milliseconds(1),
+                                                     seconds(60));
+    const status result = item.finish();
+    if (!is_ok(result))
+    {
+        reader.fail("discovery", error_of(result).message);
+    }
+    return found;
+}
+
 } // namespace
 
 outcome<control_settings>
@@ -66,6 +99,7 @@
     settings.peers = read_endpoint(reader, "peers");
     settings.group_name = reader.text_or("group_name", settings.group_name);
     settings.group = read_group(reader);
+    settings.found_by = read_discovery(reader);
     settings.data_folder = reader.text("data_folder");
     const auto level = parse_log_level(reader.text_or("log_level", "info"));
     if (is_ok(level))
--- a/libs/control/src/control_state.cpp
+++ b/libs/control/src/control_state.cpp
@@ -13,6 +13,7 @@
 /// First byte of an entry.
 constexpr char config_kind = 'c';
 constexpr char claim_kind = 'k';
+constexpr char order_kind = 'o';
 
 constexpr std::size_t length_bytes = 8;
 constexpr unsigned bits_per_byte = 8;
@@ -61,6 +62,11 @@
     return claim_kind + encode(order);
 }
 
+std::string make_entry(const directory::command& order)
+{
+    return order_kind + encode(order);
+}
+
 control_state::control_state(std::uint64_t group)
     : m_config(group),
       m_claims(claims::claim_limits{})
@@ -88,6 +94,14 @@
         }
     }
     m_config.skip(index);
+    if (entry.starts_with(order_kind))
+    {
+        const auto order = directory::decode_command(entry.substr(1));
+        if (is_ok(order))
+        {
+            m_orders.apply(index, value_of(order));
+        }
+    }
     return {};
 }
 
@@ -100,6 +114,7 @@
     out += config;
     append_length(out, claims.size());
     out += claims;
+    out += encode(m_orders);
     return out;
 }
 
@@ -126,6 +141,18 @@
     {
         return error_of(claims);
     }
+    // Snapshots of earlier releases end here.
+    directory::intent orders;
+    if (!snapshot.empty())
+    {
+        auto decoded = directory::decode_intent(snapshot);
+        if (!is_ok(decoded))
+        {
+            return error_of(decoded);
+        }
+        orders = std::move(value_of(decoded));
+    }
+    m_orders = std::move(orders);
     m_config = std::move(value_of(config));
     m_claims = std::move(value_of(claims));
     return success();
--- a/libs/control/src/control_state.hpp
+++ b/libs/control/src/control_state.hpp
@@ -6,6 +6,7 @@
 #include <limpet/base/outcome.hpp>
 #include <limpet/claims/claim_table.hpp>
 #include <limpet/config/state_machine.hpp>
+#include <limpet/directory/intent.hpp>
 
 #include <cstdint>
 #include <string>
@@ -20,8 +21,11 @@
 /// Returns the log entry of a claims command.
 std::string make_entry(const claims::claim_command& order);
 
-/// The configuration and the claims, both driven by one log. Equal logs give
-/// equal states. Not thread-safe.
+/// Returns the log entry of an order for the fleet as a whole.
+std::string make_entry(const directory::command& order);
+
+/// The configuration, the claims and the orders for the whole fleet, all driven
+/// by one log. Equal logs give equal states. Not thread-safe.
 class control_state
 {
 public:
@@ -43,6 +47,11 @@
         return m_claims;
     }
 
+    const directory::intent& orders() const noexcept
+    {
+        return m_orders;
+    }
+
     /// Returns the whole state.
     std::string snapshot() const;
 
@@ -53,6 +62,7 @@
 private:
     config::state_machine m_config;
     claims::claim_table m_claims;
+    directory::intent m_orders;
 };
 
 } // namespace limpet::control
