--- /dev/null
+++ b/libs/gateway/src/directory_client.hpp
@@ -0,0 +1,69 @@
+/// \file
+/// Keeps a gateway in step with the control replicas.
+
+#pragma once
+
+#include <limpet/directory/update.hpp>
+#include <limpet/gateway/gateway_settings.hpp>
+#include <limpet/wire/link_hub.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace limpet::gateway
+{
+
+/// What the gateway does with the news.
+struct directory_callbacks
+{
+    std::function<void(const directory::intent&)> on_orders;
+    std::function<void(const directory::registration&)> on_registration;
+    std::function<void(std::uint32_t)> on_routers;
+};
+
+/// Subscribes to every control replica that it hears of and merges what they
+/// tell. Orders only rise: an older state is never taken. Runs on one thread.
+class directory_client
+{
+public:
+    static outcome<std::unique_ptr<directory_client>>
+    listen(boost::asio::io_context& context,
+           const gateway_settings& settings,
+           directory_callbacks callbacks);
+
+    directory_client(boost::asio::io_context& context,
+                     directory_callbacks callbacks);
+
+    void close();
+
+    /// Number of replicas heard of lately.
+    std::size_t replicas_in_touch() const;
+
+private:
+    struct replica
+    {
+        time_point heard_at{};
+        bool is_in_touch = false;
+    };
+
+    void add_replica(const vm_id& vm);
+    void receive(const vm_id& from, std::string_view payload);
+    void take_orders(const directory::intent& orders);
+    void tick();
+    void schedule();
+    void subscribe(const vm_id& vm);
+
+    boost::asio::steady_timer m_timer;
+    directory_callbacks m_callbacks;
+    std::shared_ptr<wire::link_hub> m_hub;
+    std::map<vm_id, replica> m_replicas;
+    directory::registration_table m_table;
+    std::uint64_t m_intent_index = 0;
+    bool m_closed = false;
+};
+
+} // namespace limpet::gateway
--- /dev/null
+++ b/libs/gateway/src/gateway.cpp
@@ -0,0 +1,263 @@
+#include "directory_client.hpp"
+#include "gateway_state.hpp"
+#include "request_run.hpp"
+
+#include <limpet/base/log.hpp>
+#include <limpet/gateway/gateway.hpp>
+#include <limpet/http/server.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace limpet::gateway
+{
+
+namespace net = boost::asio;
+
+namespace
+{
+
+/// Time for which new connections are taken after readiness was withdrawn:
+/// the load balancer asks once a second and believes the second answer.
+constexpr duration readiness_notice = milliseconds(2600);
+/// Pause between two looks at the open connections while draining.
+constexpr duration drain_poll = milliseconds(50);
+/// Longest time to connect to a server. Several round trips between data
+/// centres, and less than any objective.
+constexpr duration connect_timeout = milliseconds(400);
+/// Longest time that a connection to a server is kept without a request.
+constexpr duration server_idle_timeout = seconds(4);
+
+class running_gateway final : public gateway
+{
+public:
+    running_gateway(net::io_context& context,
+                    const gateway_settings& settings,
+                    const protocol& language)
+        : m_context(context),
+          m_settings(settings),
+          m_state{language,
+                  server_pool(settings.data_centre),
+                  {},
+                  make_client(),
+                  nullptr,
+                  settings.retry_ratio,
+                  {}},
+          m_drain_timer(context)
+    {
+    }
+
+    status start()
+    {
+        status opened = open_directory();
+        if (is_ok(opened))
+        {
+            opened = open_readiness();
+        }
+        if (is_ok(opened))
+        {
+            opened = open_callers();
+        }
+        if (is_ok(opened))
+        {
+            log_event(log_level::info,
+                      "gateway.start",
+                      {{"vm", m_settings.vm.get()},
+                       {"data_centre", m_settings.data_centre.get()},
+                       {"seeds", m_settings.seeds.size()}});
+        }
+        return opened;
+    }
+
+    void drain(std::function<void()> on_drained) override
+    {
+        m_draining = true;
+        m_on_drained = std::move(on_drained);
+        log_event(log_level::info,
+                  "gateway.drain",
+                  {{"requests", m_callers->open_request_count()}});
+        m_callers->wind_down();
+        m_drain_timer.expires_after(readiness_notice);
+        m_drain_timer.async_wait(
+            [this](boost::system::error_code cancelled)
+            {
+                if (!cancelled)
+                {
+                    // Connections are accepted to the end: one that waits
+                    // to be accepted may already hold a request.
+                    m_callers->close_idle();
+                    wait_for_requests();
+                }
+            });
+    }
+
+    void close() override
+    {
+        m_callers->close();
+        m_readiness->close();
+        m_directory->close();
+        m_state.queue.wake_all();
+    }
+
+private:
+    static std::shared_ptr<http::client> make_client()
+    {
+        http::client_limits limits;
+        limits.connect_timeout = connect_timeout;
+        limits.idle_timeout = server_idle_timeout;
+        return http::client::create(limits);
+    }
+
+    status open_directory()
+    {
+        directory_callbacks callbacks;
+        callbacks.on_orders = [this](const directory::intent& orders)
+        {
+            take_orders(orders);
+        };
+        callbacks.on_registration = [this](const directory::registration& row)
+        {
+            m_state.pool.apply(row);
+        };
+        callbacks.on_routers = [this](std::uint32_t count)
+        {
+            m_state.pool.set_routers(count);
+        };
+        auto opened = directory_client::listen(
+            m_context, m_settings, std::move(callbacks));
+        if (!is_ok(opened))
+        {
+            return error_of(opened);
+        }
+        m_directory = value_of(std::move(opened));
+        return success();
+    }
+
+    void take_orders(const directory::intent& orders)
+    {
+        m_state.pool.set_taken_out(orders.taken_out);
+        if (!orders.document)
+        {
+            return;
+        }
+        const auto text = orders.document->unpack();
+        if (!is_ok(text))
+        {
+            log_event(log_level::error,
+                      "document.unreadable",
+                      {{"reason", error_of(text).message}});
+            return;
+        }
+        auto plan = m_state.language.read_document(value_of(text));
+        if (!is_ok(plan))
+        {
+            log_event(log_level::error,
+                      "document.unreadable",
+                      {{"reason", error_of(plan).message}});
+            return;
+        }
+        m_state.plan = std::make_shared<const directory::route_table>(
+            value_of(std::move(plan)));
+        m_state.pool.set_plan(m_state.plan);
+        m_state.queue.wake_all();
+        log_event(log_level::info,
+                  "document.in_force",
+                  {{"version", m_state.plan->document().version.get()},
+                   {"index", orders.index},
+                   {"routes", m_state.plan->document().routes.size()},
+                   {"taken_out", orders.taken_out.size()}});
+    }
+
+    status open_readiness()
+    {
+        auto opened = http::server::listen(m_context,
+                                           m_settings.readiness,
+                                           {},
+                                           [this](http::exchange& caller)
+                                           {
+                                               return answer_readiness(caller);
+                                           });
+        if (!is_ok(opened))
+        {
+            return error_of(opened);
+        }
+        m_readiness = value_of(std::move(opened));
+        return success();
+    }
+
+    net::awaitable<void> answer_readiness(http::exchange& caller)
+    {
+        http::response answer;
+        const bool is_ready =
+            m_state.plan && m_state.pool.size() > 0 && !m_draining;
+        answer.head.status = !m_state.language.asks_readiness(caller.received())
+                                 ? 404
+                             : is_ready ? 200
+                                        : 503;
+        co_await caller.respond(std::move(answer));
+    }
+
+    status open_callers()
+    {
+        auto opened = http::server::listen(
+            m_context,
+            m_settings.callers,
+            {},
+            [this](http::exchange& caller) -> net::awaitable<void>
+            {
+                request_run request(m_state, caller);
+                co_await request.run();
+            });
+        if (!is_ok(opened))
+        {
+            return error_of(opened);
+        }
+        m_callers = value_of(std::move(opened));
+        return success();
+    }
+
+    void wait_for_requests()
+    {
+        if (m_callers->connection_count() == 0)
+        {
+            m_on_drained();
+            return;
+        }
+        m_drain_timer.expires_after(drain_poll);
+        m_drain_timer.async_wait(
+            [this](boost::system::error_code cancelled)
+            {
+                if (!cancelled)
+                {
+                    wait_for_requests();
+                }
+            });
+    }
+
+    net::io_context& m_context;
+    gateway_settings m_settings;
+    gateway_state m_state;
+    std::unique_ptr<directory_client> m_directory;
+    std::unique_ptr<http::server> m_readiness;
+    std::unique_ptr<http::server> m_callers;
+    net::steady_timer m_drain_timer;
+    std::function<void()> m_on_drained;
+    bool m_draining = false;
+};
+
+} // namespace
+
+outcome<std::unique_ptr<gateway>>
+gateway::create(net::io_context& context,
+                const gateway_settings& settings,
+                const protocol& language)
+{
+    auto made = std::make_unique<running_gateway>(context, settings, language);
+    const status started = made->start();
+    if (!is_ok(started))
+    {
+        return error_of(started);
+    }
+    return std::unique_ptr<gateway>(std::move(made));
+}
+
+} // namespace limpet::gateway
