--- a/daemons/limpet-control/main.cpp
+++ b/daemons/limpet-control/main.cpp
@@ -3,6 +3,7 @@
 
 #include <limpet/control/control_server.hpp>
 #include <limpet/daemon/run.hpp>
+#include <limpet/platform/control_interface.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <gflags/gflags.h>
@@ -22,13 +23,14 @@
     open_log("limpet-control", settings.log);
     boost::asio::io_context context;
     daemon::runner runner(context, 1);
-    auto created =
-        control::control_server::create(context,
-                                        settings,
-                                        [&runner]
-                                        {
-                                            runner.stop(daemon::exit_failed);
-                                        });
+    auto created = control::control_server::create(
+        context,
+        settings,
+        [&runner]
+        {
+            runner.stop(daemon::exit_failed);
+        },
+        platform::make_control_interface);
     if (!is_ok(created))
     {
         std::cerr << "limpet-control: " << error_of(created).message << "\n";
--- a/libs/daemon/include/limpet/daemon/run.hpp
+++ b/libs/daemon/include/limpet/daemon/run.hpp
@@ -29,7 +29,8 @@
 
 /// Runs an io_context on several threads until the program has stopped.
 /// SIGTERM or SIGINT starts a graceful shutdown; a second one, or the time
-/// limit, ends it at once.
+/// limit, ends it at once. SIGHUP is logged and changes nothing: settings are
+/// read at the start.
 class runner
 {
 public:
@@ -48,6 +49,7 @@
 
 private:
     void wait_for_signal();
+    void wait_for_reload();
     void on_signal();
     void finish(int exit_code);
 
@@ -55,6 +57,7 @@
     std::size_t m_threads;
     boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
     boost::asio::signal_set m_signals;
+    boost::asio::signal_set m_reload_signal;
     boost::asio::steady_timer m_limit;
     duration m_drain_limit{};
     drain_function m_drain;
--- a/libs/daemon/src/run.cpp
+++ b/libs/daemon/src/run.cpp
@@ -24,6 +24,7 @@
       m_threads(threads),
       m_strand(net::make_strand(context)),
       m_signals(m_strand, SIGTERM, SIGINT),
+      m_reload_signal(m_strand, SIGHUP),
       m_limit(m_strand)
 {
 }
@@ -36,6 +37,7 @@
     m_drain = std::move(drain);
     m_close = std::move(close);
     wait_for_signal();
+    wait_for_reload();
     std::vector<std::thread> threads;
     for (std::size_t i = 1; i < m_threads; ++i)
     {
@@ -74,6 +76,19 @@
         });
 }
 
+void runner::wait_for_reload()
+{
+    m_reload_signal.async_wait(
+        [this](boost::system::error_code cancelled, int)
+        {
+            if (!cancelled)
+            {
+                log_event(log_level::info, "program.reload", {});
+                wait_for_reload();
+            }
+        });
+}
+
 void runner::on_signal()
 {
     if (m_draining)
@@ -110,6 +125,7 @@
     m_close();
     boost::system::error_code ignored;
     m_signals.cancel(ignored);
+    m_reload_signal.cancel(ignored);
     m_limit.expires_after(close_time);
     m_limit.async_wait(
         [this](boost::system::error_code)
