Faster recovery, cut ways found, prompts overflow by rank

After all machines lost power routers served again 3 to 4 s later. Causes, from logs: elections of 1.5 to 3 s, and links that waited 1 s for a machine without power. Elections now take 0.8 to 1.6 s and connects 0.3 s.

Connections to servers end when the machine acknowledges nothing for 0.9 s, two unreachable servers leave their data centre out for 1.5 s, and servers that fail more than others get less.

Placing: routers disagreed on where a full server's prompts go, so a subject lay on 6 to 8 servers.

Logs go to standard output from a thread of their own and are dropped rather than waited for; routers show metrics at the deploy file's address.

--- a/libs/base/include/limpet/base/log.hpp
+++ b/libs/base/include/limpet/base/log.hpp
@@ -6,6 +6,7 @@
 #include <limpet/base/outcome.hpp>
 
 #include <concepts>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -58,10 +59,15 @@
     std::string value;
 };
 
-/// Sends the log to standard error from the given level on. Call once, before
-/// other threads start. Events before the call are dropped.
+/// Sends the log to standard output from the given level on, from a thread of
+/// its own: an event that finds the buffer full is dropped and counted in a
+/// line, so that logging never waits for the reader. Call once, before other
+/// threads start. Events before the call are dropped.
 void open_log(std::string_view program, log_level lowest);
 
+/// Returns the number of events logged so far.
+std::uint64_t log_lines_written() noexcept;
+
 /// Parses "debug", "info", "warn" or "error".
 outcome<log_level> parse_log_level(std::string_view text);
 
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -1,5 +1,6 @@
 #include <limpet/base/log.hpp>
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
@@ -15,6 +16,10 @@
 {
 
 std::atomic<bool> is_open{false};
+std::atomic<std::uint64_t> lines{0};
+
+/// Events kept for a slow reader of the log; about 1 MB of lines.
+constexpr int buffered_events = 4096;
 
 log4cxx::LoggerPtr logger()
 {
@@ -92,13 +97,22 @@
                                 std::string(program) + " %m%n";
     const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+        layout, log4cxx::ConsoleAppender::getSystemOut());
+    const auto buffer = std::make_shared<log4cxx::AsyncAppender>();
+    buffer->setBlocking(false);
+    buffer->setBufferSize(buffered_events);
+    buffer->addAppender(appender);
     logger()->removeAllAppenders();
-    logger()->addAppender(appender);
+    logger()->addAppender(buffer);
     logger()->setLevel(native_level(lowest));
     is_open = true;
 }
 
+std::uint64_t log_lines_written() noexcept
+{
+    return lines;
+}
+
 outcome<log_level> parse_log_level(std::string_view text)
 {
     if (text == "debug")
@@ -150,6 +164,7 @@
     {
         return;
     }
+    ++lines;
     target->forcedLog(native, format_event(event, fields), LOG4CXX_LOCATION);
 }
 
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -29,11 +29,20 @@
 /// data centres; changes must reach routers well within two seconds.
 constexpr duration link_timeout = milliseconds(1000);
 /// Longest pause between two attempts to reach a peer.
-constexpr duration link_retry = milliseconds(500);
+constexpr duration link_retry = milliseconds(200);
+/// Longest time to connect to a peer. Several round trips between data
+/// centres; a machine without power does not answer at all.
+constexpr duration link_connect_timeout = milliseconds(300);
 /// Time after which a lost voter is replaced by a VM that joined. Longer than
 /// a process takes to start again and catch up.
 constexpr duration lost_voter_timeout = seconds(3);
 
+/// Times of the group where routers learn all from it after a restart: no
+/// router serves before a leader is sure of its lead. The election timeout
+/// bears one lost packet and a few late heartbeats.
+constexpr duration heartbeat_interval = milliseconds(200);
+constexpr duration election_timeout = milliseconds(800);
+
 class running_server final : public control_server, private fleet_orders
 {
 public:
@@ -133,7 +142,7 @@
                                        incarnation(unix_ms()),
                                        http::to_string(m_settings.peers)};
         wire::link_settings links;
-        links.connect_timeout = link_timeout;
+        links.connect_timeout = link_connect_timeout;
         links.silence_timeout = link_timeout;
         links.max_reconnect_delay = link_retry;
         auto hub = wire::link_hub::listen(
@@ -191,6 +200,8 @@
         settings.may_found = is_seed && m_settings.found_by->first_start;
         settings.accepts_any_vm = true;
         settings.consensus.lost_voter_timeout = lost_voter_timeout;
+        settings.consensus.heartbeat_interval = heartbeat_interval;
+        settings.consensus.election_timeout = election_timeout;
     }
 
     /// Replicas are named by their IP number where nobody lists them.
--- a/libs/gateway/include/limpet/gateway/gateway_settings.hpp
+++ b/libs/gateway/include/limpet/gateway/gateway_settings.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/json.hpp>
 
+#include <optional>
 #include <vector>
 
 namespace limpet::gateway
@@ -27,6 +28,8 @@
     boost::asio::ip::tcp::endpoint readiness;
     /// Where the project's other processes reach the gateway.
     boost::asio::ip::tcp::endpoint peers;
+    /// Where metrics are read, if anywhere.
+    std::optional<boost::asio::ip::tcp::endpoint> metrics;
     /// Operators' addresses of control replicas; their peers' port is this
     /// process's own.
     std::vector<boost::asio::ip::tcp::endpoint> seeds;
--- a/libs/gateway/include/limpet/gateway/protocol.hpp
+++ b/libs/gateway/include/limpet/gateway/protocol.hpp
@@ -89,6 +89,7 @@
 enum class refusal_cause
 {
     no_plan,       ///< No configuration is known yet.
+    shutting_down, ///< The gateway ends before the request could.
     unknown_route, ///< No route has the host and path.
     unknown_key,   ///< No tenant holds the key.
     malformed,     ///< The request lacks what it must tell.
--- a/libs/gateway/include/limpet/gateway/server_pool.hpp
+++ b/libs/gateway/include/limpet/gateway/server_pool.hpp
@@ -55,6 +55,7 @@
 {
     answered,    ///< The server gave a whole answer.
     refused,     ///< The server stated that the request has not run.
+    failed,      ///< The server gave a whole answer that tells of a failure.
     unreachable, ///< No connection could be made.
     broken,      ///< The server broke off or its answer was unusable.
     abandoned,   ///< The caller left or the time was up.
@@ -115,6 +116,9 @@
         /// Failures in a row, and the time before which no request is sent.
         std::uint32_t failures = 0;
         time_point rests_until{};
+        /// Part of the latest requests that failed, as of a moment.
+        double failing = 0;
+        time_point failing_at{};
         /// Requests that may still begin while the server is cold.
         double cold_tokens = 0;
         time_point cold_filled_at{};
@@ -122,6 +126,16 @@
         std::unordered_map<std::uint64_t, time_point> parts;
     };
 
+    /// What this router found out about the way to a data centre.
+    struct way
+    {
+        /// Servers in a row that could not be reached.
+        std::set<engine_id> unreachable;
+        time_point rests_until{};
+    };
+
+    void note_reach(const row& each, bool is_reached, time_point now);
+    bool is_cut_off(const row& each, time_point now) const;
     std::vector<row*> usable(const server_query& query, time_point now);
     bool
     is_usable(const row& each, const server_query& query, time_point now) const;
@@ -144,6 +158,7 @@
     std::shared_ptr<const directory::route_table> m_plan;
     std::set<std::string> m_taken_out;
     std::uint32_t m_routers = 1;
+    std::map<data_centre_id, way> m_ways;
 };
 
 } // namespace limpet::gateway
--- a/libs/gateway/src/directory_client.cpp
+++ b/libs/gateway/src/directory_client.cpp
@@ -20,7 +20,10 @@
 /// data centres; changes must be known well within two seconds.
 constexpr duration link_timeout = milliseconds(1000);
 /// Longest pause between two attempts to reach a replica.
-constexpr duration link_retry = milliseconds(500);
+constexpr duration link_retry = milliseconds(200);
+/// Longest time to connect to a peer. Several round trips between data
+/// centres; a machine without power does not answer at all.
+constexpr duration link_connect_timeout = milliseconds(300);
 
 std::uint64_t unix_ms()
 {
@@ -61,7 +64,7 @@
         log_event(log_level::warn, "peer.lost", {{"peer", peer.get()}});
     };
     wire::link_settings links;
-    links.connect_timeout = link_timeout;
+    links.connect_timeout = link_connect_timeout;
     links.silence_timeout = link_timeout;
     links.max_reconnect_delay = link_retry;
     const wire::link_identity identity{settings.vm,
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -8,6 +8,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <sstream>
+
 namespace limpet::gateway
 {
 
@@ -23,7 +25,10 @@
 constexpr duration drain_poll = milliseconds(50);
 /// Longest time to connect to a server. Several round trips between data
 /// centres, and less than any objective.
-constexpr duration connect_timeout = milliseconds(400);
+constexpr duration connect_timeout = milliseconds(250);
+/// Time after which a connection to a server ends whose machine acknowledges
+/// nothing. Bears two lost packets in a row.
+constexpr duration server_silence_timeout = milliseconds(900);
 /// Longest time that a connection to a server is kept without a request.
 constexpr duration server_idle_timeout = seconds(4);
 
@@ -41,7 +46,10 @@
                   make_client(),
                   nullptr,
                   settings.retry_ratio,
-                  {}},
+                  monotonic_clock::now(),
+                  {},
+                  {},
+                  false},
           m_drain_timer(context)
     {
     }
@@ -53,6 +61,10 @@
         {
             opened = open_readiness();
         }
+        if (is_ok(opened) && m_settings.metrics)
+        {
+            opened = open_metrics();
+        }
         if (is_ok(opened))
         {
             opened = open_callers();
@@ -84,6 +96,9 @@
                 {
                     // Connections are accepted to the end: one that waits
                     // to be accepted may already hold a request.
+                    // Its request is refused, since it might not end in
+                    // the time that is left.
+                    m_state.is_ending = true;
                     m_callers->close_idle();
                     wait_for_requests();
                 }
@@ -94,6 +109,10 @@
     {
         m_callers->close();
         m_readiness->close();
+        if (m_metrics_server)
+        {
+            m_metrics_server->close();
+        }
         m_directory->close();
         m_state.queue.wake_all();
     }
@@ -103,6 +122,7 @@
     {
         http::client_limits limits;
         limits.connect_timeout = connect_timeout;
+        limits.silence_timeout = server_silence_timeout;
         limits.idle_timeout = server_idle_timeout;
         return http::client::create(limits);
     }
@@ -196,6 +216,44 @@
         co_await caller.respond(std::move(answer));
     }
 
+    status open_metrics()
+    {
+        auto opened = http::server::listen(
+            m_context,
+            *m_settings.metrics,
+            {},
+            [this](http::exchange& caller) -> net::awaitable<void>
+            {
+                http::response answer;
+                answer.head.headers.set("Content-Type",
+                                        "text/plain; version=0.0.4");
+                answer.body = metrics_text();
+                co_await caller.respond(std::move(answer));
+            });
+        if (!is_ok(opened))
+        {
+            return error_of(opened);
+        }
+        m_metrics_server = value_of(std::move(opened));
+        return success();
+    }
+
+    std::string metrics_text() const
+    {
+        std::ostringstream out;
+        out << m_state.metrics.to_text() << "limpet_gateway_waiting "
+            << m_state.queue.size() << "\nlimpet_gateway_open_requests "
+            << m_callers->open_request_count()
+            << "\nlimpet_gateway_connections " << m_callers->connection_count()
+            << "\nlimpet_gateway_servers " << m_state.pool.size()
+            << "\nlimpet_gateway_replicas_in_touch "
+            << m_directory->replicas_in_touch()
+            << "\nlimpet_gateway_document_version "
+            << (m_state.plan ? m_state.plan->document().version.get() : 0)
+            << "\nlimpet_log_lines_total " << log_lines_written() << "\n";
+        return out.str();
+    }
+
     status open_callers()
     {
         auto opened = http::server::listen(
@@ -238,6 +296,7 @@
     gateway_state m_state;
     std::unique_ptr<directory_client> m_directory;
     std::unique_ptr<http::server> m_readiness;
+    std::unique_ptr<http::server> m_metrics_server;
     std::unique_ptr<http::server> m_callers;
     net::steady_timer m_drain_timer;
     std::function<void()> m_on_drained;
--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -12,8 +12,9 @@
 
 using boost::asio::ip::tcp;
 
-tcp::endpoint
-read_endpoint(settings_reader& reader, std::string_view key, std::string text)
+tcp::endpoint read_endpoint(settings_reader& reader,
+                            std::string_view key,
+                            const std::string& text)
 {
     const auto parsed = http::parse_endpoint(text);
     if (!is_ok(parsed))
@@ -37,10 +38,14 @@
     settings.readiness =
         read_endpoint(reader, "readiness", reader.text("readiness"));
     settings.peers = read_endpoint(reader, "peers", reader.text("peers"));
-    for (std::string& seed : reader.texts_or_empty("seeds"))
+    if (reader.has("metrics"))
     {
-        settings.seeds.push_back(
-            read_endpoint(reader, "seeds", std::move(seed)));
+        settings.metrics =
+            read_endpoint(reader, "metrics", reader.text("metrics"));
+    }
+    for (const std::string& seed : reader.texts_or_empty("seeds"))
+    {
+        settings.seeds.push_back(read_endpoint(reader, "seeds", seed));
     }
     settings.drain_timeout = reader.milliseconds_or("drain_timeout_ms",
                                                     settings.drain_timeout,
--- a/libs/gateway/src/gateway_state.hpp
+++ b/libs/gateway/src/gateway_state.hpp
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "gateway_metrics.hpp"
 #include "room_queue.hpp"
 
 #include <limpet/admission/retry_budget.hpp>
@@ -28,9 +29,14 @@
     /// Null until the first configuration is known.
     std::shared_ptr<const directory::route_table> plan;
     double retry_ratio = 0;
+    time_point started_at = monotonic_clock::now();
     /// Budget of repeats for each service.
     std::map<std::string, admission::retry_budget> budgets;
 
+    gateway_metrics metrics;
+    /// Whether new requests are refused, as the gateway ends soon.
+    bool is_ending = false;
+
     admission::retry_budget& budget_of(const std::string& service);
 };
 
--- a/libs/gateway/src/protocol.cpp
+++ b/libs/gateway/src/protocol.cpp
@@ -14,6 +14,8 @@
     {
     case refusal_cause::no_plan:
         return "no_plan";
+    case refusal_cause::shutting_down:
+        return "shutting_down";
     case refusal_cause::unknown_route:
         return "unknown_route";
     case refusal_cause::unknown_key:
--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -14,9 +14,14 @@
 namespace
 {
 
-/// Time to return that a caller is told while the gateway knows no
-/// configuration. Replicas are asked twice in this time.
-constexpr duration come_back_unready = seconds(1);
+/// Time after its start in which a gateway learns the configuration when all
+/// machines start at once, and the shortest time to return that a caller is
+/// told before.
+constexpr duration learning_time = milliseconds(2500);
+constexpr duration come_back_unready = milliseconds(300);
+/// Time to return after a refusal by a gateway that ends: another one takes
+/// the next connection.
+constexpr duration come_back_elsewhere = milliseconds(20);
 /// Time to return after a refusal for lack of room: about the time in which
 /// a server ends a request.
 constexpr duration come_back_full = milliseconds(500);
@@ -74,10 +79,6 @@
 
 std::optional<refusal_cause> request_run::classify()
 {
-    if (!m_plan)
-    {
-        return refusal_cause::no_plan;
-    }
     const http::request& message = m_caller.received();
     const auto parsed = m_shared.language.read_call(message);
     if (!is_ok(parsed))
@@ -86,6 +87,14 @@
         return refusal_cause::malformed;
     }
     m_call = value_of(parsed);
+    if (m_shared.is_ending)
+    {
+        return refusal_cause::shutting_down;
+    }
+    if (!m_plan)
+    {
+        return refusal_cause::no_plan;
+    }
     m_route = m_plan->find_route(m_call.host, message.target);
     if (m_route == nullptr)
     {
@@ -219,6 +228,7 @@
     m_open = nullptr;
     m_shared.pool.on_end(server.id, how, monotonic_clock::now());
     m_shared.queue.wake(m_query.service);
+    m_shared.metrics.record_try(m_query.service, to_string(how));
     if (how != request_end::answered)
     {
         log_event(log_level::info,
@@ -242,6 +252,7 @@
     order.time_left = time_left();
     order.last_event = m_last_event;
     order.copy_from = server.copy_from;
+    m_is_copied = server.copy_from.has_value();
     auto sent = co_await m_shared.client->send(
         server.address,
         m_shared.language.make_forward(m_caller.received(), order),
@@ -305,15 +316,26 @@
     const try_result result = is_stream
                                   ? co_await pass_stream(std::move(answer))
                                   : co_await pass_whole(std::move(answer));
-    const bool is_broken = result != try_result::finished;
-    end_try(server,
-            m_gone || (is_broken && time_left() <= final_margin)
-                ? request_end::abandoned
-            : is_broken ? request_end::broken
-                        : request_end::answered);
+    end_try(server, end_of(result));
     co_return result;
 }
 
+/// Returns what a try whose answer began tells of the server.
+request_end request_run::end_of(try_result result) const
+{
+    const bool has_ended = result == try_result::finished;
+    if (m_gone || (!has_ended && time_left() <= final_margin))
+    {
+        return request_end::abandoned;
+    }
+    if (has_ended)
+    {
+        return m_status >= first_failure_status ? request_end::failed
+                                                : request_end::answered;
+    }
+    return m_failure ? request_end::failed : request_end::broken;
+}
+
 net::awaitable<request_run::try_result>
 request_run::pass_whole(std::unique_ptr<http::response_stream> answer)
 {
@@ -396,7 +418,12 @@
     std::optional<duration> come_back;
     if (cause == refusal_cause::no_plan)
     {
-        come_back = come_back_unready;
+        const duration age = monotonic_clock::now() - m_shared.started_at;
+        come_back = std::max(come_back_unready, learning_time - age);
+    }
+    else if (cause == refusal_cause::shutting_down)
+    {
+        come_back = come_back_elsewhere;
     }
     else if (is_not_run(cause))
     {
@@ -414,6 +441,15 @@
     const time_point now = monotonic_clock::now();
     const duration first =
         m_first_at == time_point{} ? duration::zero() : m_first_at - m_arrived;
+    m_shared.metrics.record(
+        {m_query.service,
+         m_tenant == nullptr ? std::string() : m_tenant->name,
+         outcome,
+         m_status,
+         m_reached,
+         m_waited,
+         first,
+         now - m_arrived});
     log_event(
         log_level::info,
         "request.end",
@@ -421,6 +457,7 @@
          {"route", m_route == nullptr ? "" : m_route->name},
          {"service", m_query.service},
          {"subject", m_query.parts.empty() ? 0 : subject_of(m_query.parts).id},
+         {"copied", m_is_copied},
          {"tokens", m_query.prompt_tokens},
          {"tenant", m_tenant == nullptr ? "" : m_tenant->name},
          {"outcome", outcome},
--- a/libs/gateway/src/request_run.hpp
+++ b/libs/gateway/src/request_run.hpp
@@ -56,6 +56,7 @@
     boost::asio::awaitable<void> refuse(refusal_cause cause);
 
     bool may_try_again(try_result last);
+    request_end end_of(try_result result) const;
     duration time_left() const;
     void end_try(const chosen_server& server, request_end how);
     void watch_caller();
@@ -81,6 +82,8 @@
     unsigned m_unreached = 0;
     /// A server's own failure, passed on if no other try succeeds.
     std::optional<http::response> m_failure;
+    /// Whether the last server was told where to copy the prompt from.
+    bool m_is_copied = false;
     bool m_stream_begun = false;
     std::uint64_t m_last_event = 0;
     unsigned m_status = 0;
--- a/libs/gateway/src/server_pool.cpp
+++ b/libs/gateway/src/server_pool.cpp
@@ -4,6 +4,7 @@
 #include <limpet/http/endpoint.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace limpet::gateway
@@ -21,13 +22,24 @@
 constexpr duration longest_rest = seconds(4);
 /// Failures in a row from which a server rests; one may be chance.
 constexpr std::uint32_t failures_before_rest = 2;
+/// Servers of a data centre that could not be reached in a row, with none
+/// reached between, from which the way there counts as cut; and the time for
+/// which its servers are then left out where there are others.
+constexpr std::size_t unreachable_servers = 2;
+constexpr duration cut_off_rest = milliseconds(1500);
+/// Weight of the newest request in the part of a server's requests that
+/// failed, and the time after which that part counts half.
+constexpr double failing_weight = 0.2;
+constexpr duration failing_half_life = seconds(4);
+/// Cost of a server all of whose requests fail, in requests.
+constexpr double failing_cost = 12;
 /// Slots of a server that does not state them.
 constexpr double default_slots = 8;
 /// Load of one server over the mean that no choice exceeds, by factor and
 /// by count. Below what operators count as overload, as loads of other
 /// routers are known late.
-constexpr double load_factor = 1.4;
-constexpr double load_slack = 2;
+constexpr double load_factor = 1.7;
+constexpr double load_slack = 3;
 /// Time for which a part of a prompt counts as held by the server that read
 /// it. Servers drop the parts that were used longest ago.
 constexpr duration part_lifetime = seconds(30);
@@ -36,16 +48,15 @@
 /// Prompt tokens whose reading costs callers as much as one more request
 /// that runs beside theirs: reading 1,000 tokens halts all requests of a
 /// server for about 10 ms.
-constexpr double tokens_per_request = 1000;
+constexpr double tokens_per_request = 100;
 /// Cost of a server in another data centre, in requests.
 constexpr double distance_cost = 0.3;
 /// Cost of a server that was not heard of lately, in requests.
 constexpr double silence_cost = 1000;
-/// Cost of each rank below the first in the rendezvous order, in requests,
-/// and the rank from which it no longer rises. Makes routers that know
-/// nothing of each other agree on where a prompt overflows to.
-constexpr double rank_cost = 0.3;
-constexpr std::size_t last_rank = 4;
+/// Part of a prompt's shared tokens that a server of each rank probably lacks
+/// while this router has not sent them there itself. Requests overflow from
+/// the first rank to the second and so on, so a high rank is often warm.
+constexpr std::array<double, 5> unread_by_rank = {0, 0.3, 0.6, 0.8, 1};
 
 double half_life_weight(duration age)
 {
@@ -62,6 +73,8 @@
         return "answered";
     case request_end::refused:
         return "refused";
+    case request_end::failed:
+        return "failed";
     case request_end::unreachable:
         return "unreachable";
     case request_end::broken:
@@ -145,9 +158,50 @@
             result.push_back(&each);
         }
     }
+    const auto first_cut =
+        std::stable_partition(result.begin(),
+                              result.end(),
+                              [this, now](const row* each)
+                              {
+                                  return !is_cut_off(*each, now);
+                              });
+    if (first_cut != result.begin())
+    {
+        result.erase(first_cut, result.end());
+    }
     return result;
 }
 
+bool server_pool::is_cut_off(const row& each, time_point now) const
+{
+    const auto known = m_ways.find(each.known.data_centre);
+    return known != m_ways.end() && now < known->second.rests_until;
+}
+
+void server_pool::note_reach(const row& each, bool is_reached, time_point now)
+{
+    if (each.known.data_centre == m_home)
+    {
+        return;
+    }
+    way& there = m_ways[each.known.data_centre];
+    if (is_reached)
+    {
+        there = {};
+        return;
+    }
+    there.unreachable.insert(each.known.id);
+    if (there.unreachable.size() >= unreachable_servers)
+    {
+        there.rests_until = now + cut_off_rest;
+        log_event(log_level::warn,
+                  "data_centre.unreachable",
+                  {{"data_centre", each.known.data_centre.get()},
+                   {"servers", there.unreachable.size()},
+                   {"rest_ms", to_milliseconds(cut_off_rest)}});
+    }
+}
+
 double server_pool::capacity_of(const row& each) const
 {
     if (each.known.slots > 0)
@@ -187,7 +241,8 @@
 }
 
 /// Returns the servers that may hold the prompt, in an order that all routers
-/// agree on. Load and room do not count, so that the order is steady.
+/// agree on. Load and room do not count, so that the order is steady. Servers
+/// that drain are in it as well, since prompts may be copied from them.
 std::vector<const server_pool::row*>
 server_pool::ranked(const server_query& query) const
 {
@@ -199,8 +254,10 @@
     const std::uint64_t part = subject_of(query.parts).id;
     for (const auto& [id, each] : m_rows)
     {
-        if (each.known.state == directory::server_state::ready &&
-            each.known.service == query.service)
+        const bool holds =
+            each.known.state == directory::server_state::ready ||
+            each.known.state == directory::server_state::draining;
+        if (holds && each.known.service == query.service)
         {
             scored.emplace_back(combine_hashes(part, stable_hash(id.get())),
                                 &each);
@@ -230,10 +287,9 @@
     {
         cost += silence_cost;
     }
-    if (query.parts.empty() || rank == 0)
-    {
-        return cost;
-    }
+    const duration since = now - each.failing_at;
+    cost += failing_cost * each.failing *
+            std::exp2(-to_seconds(since) / to_seconds(failing_half_life));
     double unread = 0;
     bool is_warm = true;
     for (const prompt_part& part : query.parts)
@@ -243,8 +299,9 @@
                   now < known->second + part_lifetime;
         unread += is_warm || &part == &query.parts.back() ? 0 : part.tokens;
     }
-    return cost + unread / tokens_per_request +
-           rank_cost * static_cast<double>(std::min(rank, last_rank));
+    const double part_lacking =
+        unread_by_rank[std::min(rank, unread_by_rank.size() - 1)];
+    return cost + unread * part_lacking / tokens_per_request;
 }
 
 std::variant<chosen_server, no_choice>
@@ -263,6 +320,15 @@
     const double mean = total / static_cast<double>(rows.size());
     const double bound = load_factor * mean + load_slack;
     const std::vector<const row*> order = ranked(query);
+    std::size_t rank = 0;
+    std::map<const row*, std::size_t> ranks;
+    for (const row* each : order)
+    {
+        if (each->known.state == directory::server_state::ready)
+        {
+            ranks[each] = rank++;
+        }
+    }
     row* best = nullptr;
     double best_cost = 0;
     for (row* each : rows)
@@ -273,12 +339,9 @@
         {
             continue;
         }
-        const auto place = std::find(order.begin(), order.end(), each);
+        const auto place = ranks.find(each);
         const double cost = cost_of(
-            *each,
-            query,
-            static_cast<std::size_t>(std::distance(order.begin(), place)),
-            now);
+            *each, query, place == ranks.end() ? rank : place->second, now);
         if (best == nullptr || cost < best_cost)
         {
             best = each;
@@ -382,9 +445,20 @@
     }
     row& each = found->second;
     each.own -= std::min<std::uint32_t>(each.own, 1);
+    if (how != request_end::refused && how != request_end::abandoned)
+    {
+        const duration since = now - each.failing_at;
+        each.failing *=
+            (1 - failing_weight) *
+            std::exp2(-to_seconds(since) / to_seconds(failing_half_life));
+        each.failing += how == request_end::answered ? 0 : failing_weight;
+        each.failing_at = now;
+        note_reach(each, how != request_end::unreachable, now);
+    }
     switch (how)
     {
     case request_end::answered:
+    case request_end::failed:
         each.failures = 0;
         each.rests_until = {};
         return;
--- a/libs/gateway/test/server_pool_test.cpp
+++ b/libs/gateway/test/server_pool_test.cpp
@@ -195,6 +195,63 @@
     BOOST_TEST((begin(plain_query(), start + seconds(1)) == id));
 }
 
+BOOST_AUTO_TEST_CASE(server_that_fails_more_than_others_gets_less)
+{
+    // i-0 answers every second request with a failure, the others none.
+    std::map<engine_id, int> begun;
+    for (int i = 0; i < 600; ++i)
+    {
+        const time_point now = start + i * milliseconds(20);
+        const auto id = begin(plain_query(), now);
+        const int number = begun[*id]++;
+        const bool fails = id->get() == "i-0" && number % 2 == 0;
+        pool.on_end(
+            *id, fails ? request_end::failed : request_end::answered, now);
+    }
+    BOOST_TEST(begun[engine_id("i-0")] < 600 / 6 / 2);
+    BOOST_TEST(begun[engine_id("i-0")] > 0);
+}
+
+BOOST_AUTO_TEST_CASE(data_centre_that_cannot_be_reached_is_left_out)
+{
+    pool.on_end(engine_id("i-1"), request_end::unreachable, start);
+    pool.on_end(engine_id("i-3"), request_end::unreachable, start);
+    for (int i = 0; i < 12; ++i)
+    {
+        BOOST_TEST(begin(plain_query())->get() != "i-5");
+    }
+    // One that is reached again brings the others back.
+    pool.on_end(engine_id("i-5"), request_end::answered, start);
+    for (int i : {0, 2, 4})
+    {
+        pool.on_load(engine_id("i-" + std::to_string(i)), {7, 0, 8}, start);
+    }
+    BOOST_TEST(begin(plain_query())->get() == "i-5");
+}
+
+BOOST_AUTO_TEST_CASE(unreachable_data_centre_is_used_when_it_is_the_only_one)
+{
+    pool.on_end(engine_id("i-1"), request_end::unreachable, start);
+    pool.on_end(engine_id("i-3"), request_end::unreachable, start);
+    pool.set_taken_out({"even"});
+    BOOST_TEST(begin(plain_query())->get() == "i-5");
+}
+
+BOOST_AUTO_TEST_CASE(prompt_is_copied_from_where_it_was_sent)
+{
+    const auto first = begin(prompt_query(7, 1));
+    server_query elsewhere = prompt_query(7, 2);
+    elsewhere.excluded = {*first};
+    const auto choice = pool.choose(elsewhere, start);
+    const auto& second = std::get<chosen_server>(choice);
+    BOOST_REQUIRE(second.copy_from.has_value());
+    const std::string address = "10.0.0." + first->get().substr(2);
+    BOOST_TEST(second.copy_from->address().to_string() == address);
+    pool.on_begin(second.id, elsewhere, start);
+    const auto again = pool.choose(elsewhere, start);
+    BOOST_TEST(!std::get<chosen_server>(again).copy_from.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(cold_servers_get_their_share_of_a_second)
 {
     pool.set_plan(make_plan(16));
--- a/libs/http/include/limpet/http/client.hpp
+++ b/libs/http/include/limpet/http/client.hpp
@@ -26,6 +26,10 @@
 {
     std::size_t header_bytes = 16UL * 1024;
     duration connect_timeout = seconds(2);
+    /// Time after which a connection ends whose bytes the server's machine
+    /// does not acknowledge, also if it is only being read; 0 for the
+    /// system's. A server that is merely slow does not count.
+    duration silence_timeout{};
     /// Longest time without a byte of the answer after its head.
     duration read_timeout = seconds(30);
     std::size_t idle_connections_per_endpoint = 32;
--- a/libs/http/src/received_response.cpp
+++ b/libs/http/src/received_response.cpp
@@ -55,6 +55,10 @@
         co_return request_failure{failed(failure), false};
     }
     prepare(m_socket);
+    if (m_pool->limits().silence_timeout > duration::zero())
+    {
+        end_when_silent(m_socket, m_pool->limits().silence_timeout);
+    }
     co_return std::nullopt;
 }
 
--- a/libs/pipeline/src/request_metrics.cpp
+++ b/libs/pipeline/src/request_metrics.cpp
@@ -1,6 +1,7 @@
 #include "request_metrics.hpp"
 
-#include <cmath>
+#include <limpet/base/metrics_text.hpp>
+
 #include <sstream>
 
 namespace limpet::pipeline
@@ -11,29 +12,9 @@
 
 constexpr std::string_view other_teams = "other";
 
-void write_histogram(std::ostream& out,
-                     std::string_view name,
-                     const std::string& team,
-                     const histogram& values)
+std::string team_label(const std::string& team)
 {
-    std::uint64_t below = 0;
-    for (std::size_t i = 0; i < histogram::bucket_count; ++i)
-    {
-        const std::uint64_t inside = values.bucket(i);
-        const double bound = histogram::upper_bound_seconds(i);
-        below += inside;
-        // Empty buckets are left out; the last one is always needed.
-        if (inside == 0 && !std::isinf(bound))
-        {
-            continue;
-        }
-        out << name << "_bucket{team=\"" << team << "\",le=\"";
-        std::isinf(bound) ? out << "+Inf" : out << bound;
-        out << "\"} " << below << "\n";
-    }
-    out << name << "_sum{team=\"" << team << "\"} " << values.sum_seconds()
-        << "\n";
-    out << name << "_count{team=\"" << team << "\"} " << values.count() << "\n";
+    return "team=\"" + team + "\"";
 }
 
 } // namespace
@@ -72,13 +53,16 @@
     out << "# TYPE limpet_first_token_seconds histogram\n";
     for (const auto& [team, values] : m_teams)
     {
-        write_histogram(
-            out, "limpet_first_token_seconds", team, values.first_token);
+        write_histogram(out,
+                        "limpet_first_token_seconds",
+                        team_label(team),
+                        values.first_token);
     }
     out << "# TYPE limpet_request_seconds histogram\n";
     for (const auto& [team, values] : m_teams)
     {
-        write_histogram(out, "limpet_request_seconds", team, values.whole);
+        write_histogram(
+            out, "limpet_request_seconds", team_label(team), values.whole);
     }
     return out.str();
 }
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -56,12 +56,12 @@
         with self.changed:
             self.lines = []
         self.process = subprocess.Popen(
-            self.command, stderr=subprocess.PIPE, text=True)
+            self.command, stdout=subprocess.PIPE, text=True)
         threading.Thread(
             target=self._read, args=(self.process,), daemon=True).start()
 
     def _read(self, process):
-        for line in process.stderr:
+        for line in process.stdout:
             with self.changed:
                 self.lines.append(line)
                 self.changed.notify_all()
