Elections within half a second to a second

Of the 1.4 s between a router's start and its configuration, over a second was the wait for a leader. Ruled out: serving what a replica's own log holds before a leader is sure of it, since such an order may never come in force and a router would have to go back.

Election timeout 800 to 500 ms, heartbeats 200 to 125 ms, time to return after a start 1.2 s.

--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -39,9 +39,9 @@
 
 /// Times of the group where routers learn all from it after a restart: no
 /// router serves before a leader is sure of its lead. The election timeout
-/// bears one lost packet and a few late heartbeats.
-constexpr duration heartbeat_interval = milliseconds(200);
-constexpr duration election_timeout = milliseconds(800);
+/// bears a lost packet, whose repeat comes after 200 ms, and late heartbeats.
+constexpr duration heartbeat_interval = milliseconds(125);
+constexpr duration election_timeout = milliseconds(500);
 
 class running_server final : public control_server, private fleet_orders
 {
--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -17,7 +17,7 @@
 /// Time after its start in which a gateway learns the configuration when all
 /// machines start at once, and the shortest time to return that a caller is
 /// told before.
-constexpr duration learning_time = milliseconds(2500);
+constexpr duration learning_time = milliseconds(1200);
 constexpr duration come_back_unready = milliseconds(300);
 /// Time to return after a refusal by a gateway that ends: another one takes
 /// the next connection.
