--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -240,6 +240,10 @@
             }
             m_replica->learn_contacts(std::move(vms));
         };
+        callbacks.on_tick = [this]
+        {
+            note_leader();
+        };
         m_feed = std::make_unique<directory_feed>(
             m_context,
             m_hub,
@@ -257,6 +261,23 @@
         m_feed->start();
     }
 
+    void note_leader()
+    {
+        const replica::replica_view state = m_replica->view();
+        const vm_id leader = state.leader ? state.leader->vm : vm_id();
+        if (leader == m_leader)
+        {
+            return;
+        }
+        m_leader = leader;
+        log_event(log_level::info,
+                  "leader.changed",
+                  {{"leader", leader.get()},
+                   {"term", state.term.get()},
+                   {"committed", state.committed.get()},
+                   {"members", state.members.size()}});
+    }
+
     net::awaitable<status> submit(directory::command order) override
     {
         using result = outcome<replica::proposal_result>;
@@ -454,6 +475,8 @@
     std::unique_ptr<http::server> m_server;
     bool m_draining = false;
     bool m_is_feed_due = false;
+    /// Leader as last logged.
+    vm_id m_leader;
 };
 
 } // namespace
--- a/libs/control/src/directory_feed.cpp
+++ b/libs/control/src/directory_feed.cpp
@@ -63,6 +63,7 @@
 void directory_feed::tick()
 {
     const time_point now = monotonic_clock::now();
+    m_callbacks.on_tick();
     m_table.mark_silent(now - m_silence_limit);
     m_table.forget_silent(now - memory_of_gone);
     send_signs_of_life();
--- a/libs/control/src/directory_feed.hpp
+++ b/libs/control/src/directory_feed.hpp
@@ -26,6 +26,8 @@
     /// VMs of the control group as this replica knows them.
     std::function<std::vector<vm_id>()> replicas;
     std::function<void(std::vector<vm_id>)> on_contacts;
+    /// Called at each period.
+    std::function<void()> on_tick;
 };
 
 /// Keeps the table of registrations in step with the other replicas and sends
--- /dev/null
+++ b/libs/directory/src/flat_text.hpp
@@ -0,0 +1,56 @@
+/// \file
+/// Texts in FlatBuffers.
+
+#pragma once
+
+#include <flatbuffers/flatbuffers.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace limpet::directory
+{
+
+using text_list_offset = flatbuffers::Offset<
+    flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>>;
+
+/// Returns the bytes of a finished buffer.
+inline std::string bytes_of(const flatbuffers::FlatBufferBuilder& builder)
+{
+    return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+            builder.GetSize()};
+}
+
+/// Writes the texts of a range.
+template <class Range>
+text_list_offset write_texts(flatbuffers::FlatBufferBuilder& builder,
+                             const Range& texts)
+{
+    std::vector<flatbuffers::Offset<flatbuffers::String>> offsets;
+    for (const std::string& each : texts)
+    {
+        offsets.push_back(builder.CreateString(each));
+    }
+    return builder.CreateVector(offsets);
+}
+
+inline std::string text_or_empty(const flatbuffers::String* text)
+{
+    return text == nullptr ? std::string() : text->str();
+}
+
+/// Returns the root table of bytes that are aligned, or null if they are not
+/// a whole one.
+template <class Table>
+const Table* read_root(const std::string& aligned)
+{
+    const auto* data = reinterpret_cast<const std::uint8_t*>(aligned.data());
+    flatbuffers::Verifier verifier(data, aligned.size());
+    return verifier.VerifyBuffer<Table>(nullptr)
+               ? flatbuffers::GetRoot<Table>(data)
+               : nullptr;
+}
+
+} // namespace limpet::directory
--- a/libs/directory/src/intent.cpp
+++ b/libs/directory/src/intent.cpp
@@ -1,4 +1,5 @@
 #include "directory_generated.h"
+#include "flat_text.hpp"
 
 #include <limpet/directory/intent.hpp>
 
@@ -10,28 +11,6 @@
 
 constexpr error_code bad = error_code::malformed;
 
-std::string text_of(const flatbuffers::FlatBufferBuilder& builder)
-{
-    return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
-            builder.GetSize()};
-}
-
-/// Returns the root table of verified bytes, or null.
-template <class Table>
-const Table* read_root(std::string_view bytes)
-{
-    const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
-    flatbuffers::Verifier verifier(data, bytes.size());
-    return verifier.VerifyBuffer<Table>(nullptr)
-               ? flatbuffers::GetRoot<Table>(data)
-               : nullptr;
-}
-
-std::string text_or_empty(const flatbuffers::String* text)
-{
-    return text == nullptr ? std::string() : text->str();
-}
-
 bool is_known(std::uint8_t kind)
 {
     return kind >= static_cast<std::uint8_t>(command_kind::put_document) &&
@@ -50,7 +29,7 @@
                                      order.version.get(),
                                      document,
                                      data_centre));
-    return text_of(builder);
+    return bytes_of(builder);
 }
 
 outcome<command> decode_command(std::string_view bytes)
@@ -99,15 +78,13 @@
 std::string encode(const intent& state)
 {
     flatbuffers::FlatBufferBuilder builder;
-    const std::vector<std::string> names(state.taken_out.begin(),
-                                         state.taken_out.end());
-    const auto evacuated = builder.CreateVectorOfStrings(names);
+    const auto evacuated = write_texts(builder, state.taken_out);
     const auto document = state.document
                               ? builder.CreateString(state.document->bytes())
                               : flatbuffers::Offset<flatbuffers::String>();
     builder.Finish(fb::Createsnapshot(
         builder, state.index, state.version.get(), document, evacuated));
-    return text_of(builder);
+    return bytes_of(builder);
 }
 
 outcome<intent> decode_intent(std::string_view bytes)
--- a/libs/directory/src/update.cpp
+++ b/libs/directory/src/update.cpp
@@ -1,4 +1,5 @@
 #include "directory_generated.h"
+#include "flat_text.hpp"
 
 #include <limpet/directory/update.hpp>
 
@@ -37,11 +38,6 @@
         whole_milliseconds(now - from.heard_at));
 }
 
-std::string text_or_empty(const flatbuffers::String* text)
-{
-    return text == nullptr ? std::string() : text->str();
-}
-
 server_state read_state(std::uint8_t from)
 {
     switch (from)
@@ -110,19 +106,16 @@
         replicas.push_back(each.get());
     }
     const auto row_list = builder.CreateVector(rows);
-    const auto replica_list = builder.CreateVectorOfStrings(replicas);
+    const auto replica_list = write_texts(builder, replicas);
     flatbuffers::Offset<flatbuffers::String> document;
-    flatbuffers::Offset<
-        flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>>
-        evacuated;
+    text_list_offset evacuated;
     if (from.orders)
     {
         if (from.orders->document)
         {
             document = builder.CreateString(from.orders->document->bytes());
         }
-        evacuated = builder.CreateVectorOfStrings(
-            {from.orders->taken_out.begin(), from.orders->taken_out.end()});
+        evacuated = write_texts(builder, from.orders->taken_out);
     }
     builder.Finish(fb::Createupdate(builder,
                                     from.subscribes,
@@ -135,20 +128,17 @@
                                     from.routers,
                                     from.is_complete,
                                     row_list));
-    return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
-            builder.GetSize()};
+    return bytes_of(builder);
 }
 
 outcome<update> decode_update(std::string_view bytes, time_point now)
 {
     const std::string aligned(bytes);
-    const auto* data = reinterpret_cast<const std::uint8_t*>(aligned.data());
-    flatbuffers::Verifier verifier(data, aligned.size());
-    if (!verifier.VerifyBuffer<fb::update>(nullptr))
+    const auto* from = read_root<fb::update>(aligned);
+    if (from == nullptr)
     {
         return error{error_code::malformed, "the update cannot be read"};
     }
-    const auto* from = flatbuffers::GetRoot<fb::update>(data);
     update out;
     out.subscribes = from->subscribes();
     out.is_router = from->is_router();
--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -39,6 +39,12 @@
 /// Most bytes of an answer that is no stream.
 constexpr std::size_t max_answer_bytes = 16UL * 1024 * 1024;
 
+/// Whether the server's machine acknowledged nothing any more.
+bool is_silent(const error& reason)
+{
+    return reason.code == error_code::unavailable;
+}
+
 } // namespace
 
 request_run::request_run(gateway_state& shared, http::exchange& caller)
@@ -271,7 +277,9 @@
         }
         ++m_reached;
         end_try(server,
-                is_abandoned ? request_end::abandoned : request_end::broken);
+                is_abandoned                 ? request_end::abandoned
+                : is_silent(failure->reason) ? request_end::unreachable
+                                             : request_end::broken);
         co_return m_stream_begun ? try_result::interrupted : try_result::failed;
     }
     ++m_reached;
@@ -333,7 +341,11 @@
         return m_status >= first_failure_status ? request_end::failed
                                                 : request_end::answered;
     }
-    return m_failure ? request_end::failed : request_end::broken;
+    if (m_failure)
+    {
+        return request_end::failed;
+    }
+    return m_is_silent ? request_end::unreachable : request_end::broken;
 }
 
 net::awaitable<request_run::try_result>
@@ -385,6 +397,7 @@
         if (!is_ok(part))
         {
             m_last_failure = error_of(part).message;
+            m_is_silent = is_silent(error_of(part));
             break;
         }
         if (!value_of(part))
--- a/libs/gateway/src/request_run.hpp
+++ b/libs/gateway/src/request_run.hpp
@@ -84,6 +84,8 @@
     std::optional<http::response> m_failure;
     /// Whether the last server was told where to copy the prompt from.
     bool m_is_copied = false;
+    /// Whether the last stream ended as the server's machine fell silent.
+    bool m_is_silent = false;
     bool m_stream_begun = false;
     std::uint64_t m_last_event = 0;
     unsigned m_status = 0;
--- a/libs/http/src/transfer.cpp
+++ b/libs/http/src/transfer.cpp
@@ -138,6 +138,10 @@
     {
         return {error_code::cancelled, "the connection was closed"};
     }
+    if (failure == boost::asio::error::timed_out)
+    {
+        return {error_code::unavailable, "the peer's machine does not answer"};
+    }
     return {error_code::io_error, failure.message()};
 }
 
