Stated loads count longer where many routers share the servers

The half-life now grows with the routers.

Test: stated_load_counts_longer_among_many_routers, two failures before.

--- a/libs/gateway/src/server_pool.cpp
+++ b/libs/gateway/src/server_pool.cpp
@@ -14,8 +14,10 @@
 {
 
 /// A statement of load is halved in weight after this time, about the length
-/// of a short request.
+/// of a short request; after longer where many routers share the servers, as
+/// each hears of a server more seldom.
 constexpr duration statement_half_life = seconds(1);
+constexpr std::uint32_t routers_of_half_life = 9;
 /// Rest of a server after its first failure in a row, doubled with each
 /// further one up to the limit. Short, as most failures are single.
 constexpr duration first_rest = milliseconds(250);
@@ -58,9 +60,12 @@
 /// the first rank to the second and so on, so a high rank is often warm.
 constexpr std::array<double, 5> unread_by_rank = {0, 0.3, 0.6, 0.8, 1};
 
-double half_life_weight(duration age)
+double statement_weight(duration age, std::uint32_t routers)
 {
-    return std::exp2(-to_seconds(age) / to_seconds(statement_half_life));
+    const double scale =
+        std::max(1.0, static_cast<double>(routers) / routers_of_half_life);
+    return std::exp2(-to_seconds(age) /
+                     (scale * to_seconds(statement_half_life)));
 }
 
 } // namespace
@@ -217,7 +222,8 @@
 
 double server_pool::load_of(const row& each, time_point now) const
 {
-    return each.own + each.foreign * half_life_weight(now - each.stated_at);
+    return each.own +
+           each.foreign * statement_weight(now - each.stated_at, m_routers);
 }
 
 /// Refills the server's tokens and returns whether one is left. The routers
--- a/libs/gateway/test/server_pool_test.cpp
+++ b/libs/gateway/test/server_pool_test.cpp
@@ -289,4 +289,18 @@
     BOOST_TEST(begin(plain_query())->get() == "i-0");
 }
 
+BOOST_AUTO_TEST_CASE(stated_load_counts_longer_among_many_routers)
+{
+    pool.set_routers(58);
+    for (int i = 1; i < 6; ++i)
+    {
+        pool.on_load(engine_id("i-" + std::to_string(i)), {6, 0, 8}, start);
+    }
+    // Each of 58 routers hears of a server only every few seconds.
+    for (int i = 0; i < 3; ++i)
+    {
+        BOOST_TEST(begin(plain_query(), start + seconds(4))->get() == "i-0");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
