Gateway: split choosing, news and prompts; requests and their answers

The checks for a prompt that a server was sent lately and for a try whose time is up stood twice and are functions now.

--- a/libs/gateway/include/limpet/gateway/server_pool.hpp
+++ b/libs/gateway/include/limpet/gateway/server_pool.hpp
@@ -134,6 +134,12 @@
         time_point rests_until{};
     };
 
+    /// Returns when this router last sent the part there, unless long ago.
+    static std::optional<time_point>
+    sent_at(const row& each, std::uint64_t part, time_point now);
+    static void forget_old_parts(row& each, time_point now);
+    /// Returns the part of the server's latest requests that failed.
+    static double failing_part(const row& each, time_point now);
     void note_reach(const row& each, bool is_reached, time_point now);
     bool is_cut_off(const row& each, time_point now) const;
     std::vector<row*> usable(const server_query& query, time_point now);
--- a/libs/gateway/src/request_run.hpp
+++ b/libs/gateway/src/request_run.hpp
@@ -16,6 +16,10 @@
 namespace limpet::gateway
 {
 
+/// Returns whether a try failed as the server's machine acknowledged nothing
+/// any more.
+bool is_silent(const error& reason);
+
 /// Finds a backend server with room, sends the request there, and passes the
 /// answer on. Sends it again only while it has certainly not run or may
 /// repeat, within the route's attempts and the budget of repeats.
@@ -58,6 +62,8 @@
     bool may_try_again(try_result last);
     request_end end_of(try_result result) const;
     duration time_left() const;
+    /// Whether no further try could end in time.
+    bool is_time_up() const;
     void end_try(const chosen_server& server, request_end how);
     void watch_caller();
     void log_end(std::string_view outcome);
