One state of the orders at a time on its way to a router, told as what changed

Each frame of a router that did not yet hold an order (every 500 ms) made the leader send the whole document again, and each order of a storm went whole to each of 58 routers over a link of 6 Mbit/s.

Now a router has one state at most on its way and confirms at once; a router that holds a recent document is sent the pieces that changed; copies of one description are no changes and keep the earliest end of the cold span.

Tests that failed before: orders_on_their_way_are_not_sent_again, only_the_newest_of_several_orders_follows (3 and 4 sends in place of 1 and 2), delayed_copy_of_a_description_is_no_change.

--- a/libs/control/src/directory_feed.cpp
+++ b/libs/control/src/directory_feed.cpp
@@ -156,11 +156,12 @@
                   "subscriber.found",
                   {{"peer", from.vm.get()}, {"router", news.is_router}});
         known.sent_change = 0;
+        known.orders.forget_sent();
     }
     known.start = from.start;
     known.is_router = news.is_router;
     known.heard_at = now;
-    known.intent_index = news.intent_index;
+    known.orders.confirm(news.intent_index);
     tell(from.vm, known, is_new);
 }
 
@@ -170,7 +171,7 @@
     if (known != m_subscribers.end())
     {
         known->second.sent_change = 0;
-        known->second.intent_index = 0;
+        known->second.orders.forget_sent();
     }
 }
 
@@ -178,12 +179,12 @@
 {
     directory::update news;
     const directory::intent* orders = m_callbacks.orders();
-    if (orders != nullptr && to.is_router && to.intent_index < orders->index)
+    const time_point now = monotonic_clock::now();
+    if (orders != nullptr && to.is_router &&
+        to.orders.is_due(orders->index, now))
     {
-        news.intent_index = orders->index;
-        news.orders = *orders;
-        // Counted as told; the subscriber's next frame corrects it.
-        to.intent_index = orders->index;
+        add_orders(news, *orders, to.orders.held());
+        to.orders.note_sent(orders->index, now);
     }
     news.is_complete = to.sent_change == 0;
     to.sent_change =
@@ -200,6 +201,22 @@
     }
 }
 
+/// Adds the orders, the document as a change where the subscriber holds one
+/// that is still known.
+void directory_feed::add_orders(directory::update& news,
+                                const directory::intent& orders,
+                                std::uint64_t held)
+{
+    m_documents.add(orders);
+    news.intent_index = orders.index;
+    news.orders = orders;
+    news.change = m_documents.change_since(held);
+    if (news.change)
+    {
+        news.orders->document = nullptr;
+    }
+}
+
 void directory_feed::tell_all(bool is_forced)
 {
     const time_point now = monotonic_clock::now();
--- a/libs/control/src/directory_feed.hpp
+++ b/libs/control/src/directory_feed.hpp
@@ -3,6 +3,9 @@
 
 #pragma once
 
+#include "document_history.hpp"
+#include "order_delivery.hpp"
+
 #include <limpet/directory/update.hpp>
 #include <limpet/wire/link_hub.hpp>
 
@@ -74,7 +77,7 @@
         time_point heard_at{};
         /// Number of the last change that was sent, 0 for none.
         std::uint64_t sent_change = 0;
-        std::uint64_t intent_index = 0;
+        order_delivery orders;
     };
 
     void tick();
@@ -86,6 +89,9 @@
     /// nothing.
     void tell(const vm_id& peer, subscriber& to, bool is_forced);
     void tell_all(bool is_forced);
+    void add_orders(directory::update& news,
+                    const directory::intent& orders,
+                    std::uint64_t held);
     void send_signs_of_life();
     void send(const vm_id& peer, const directory::update& news);
 
@@ -95,6 +101,7 @@
     feed_callbacks m_callbacks;
     directory::registration_table m_table;
     std::map<vm_id, subscriber> m_subscribers;
+    document_history m_documents;
     std::vector<vm_id> m_contacts;
     /// Servers that reported here since the last tick.
     std::vector<engine_id> m_reported;
--- /dev/null
+++ b/libs/control/src/document_history.cpp
@@ -0,0 +1,75 @@
+#include "document_history.hpp"
+
+#include <limpet/base/log.hpp>
+
+#include <algorithm>
+
+namespace limpet::control
+{
+
+namespace
+{
+
+/// Documents that are kept. Bounds memory; subscribers hold one of the last
+/// few unless they were out of touch, and are then sent the whole.
+constexpr std::size_t max_versions = 6;
+
+} // namespace
+
+void document_history::add(const directory::intent& orders)
+{
+    if (!orders.document ||
+        (!m_versions.empty() && m_versions.back().index >= orders.index))
+    {
+        return;
+    }
+    version added{orders.index, orders.document, {}};
+    if (!m_versions.empty() && m_versions.back().packed == orders.document)
+    {
+        added.text = m_versions.back().text;
+    }
+    else
+    {
+        auto text = orders.document->unpack();
+        if (!is_ok(text))
+        {
+            log_event(
+                log_level::error,
+                "document.unreadable",
+                {{"index", orders.index}, {"reason", error_of(text).message}});
+            return;
+        }
+        added.text = std::move(value_of(text));
+    }
+    m_versions.push_back(std::move(added));
+    m_changes.clear();
+    if (m_versions.size() > max_versions)
+    {
+        m_versions.pop_front();
+    }
+}
+
+std::optional<directory::document_change>
+document_history::change_since(std::uint64_t index)
+{
+    const auto former = std::find_if(m_versions.begin(),
+                                     m_versions.end(),
+                                     [index](const version& each)
+                                     {
+                                         return each.index == index;
+                                     });
+    if (former == m_versions.end())
+    {
+        return std::nullopt;
+    }
+    auto [known, is_new] = m_changes.try_emplace(index);
+    if (is_new)
+    {
+        known->second.base_index = index;
+        known->second.delta =
+            directory::make_delta(former->text, m_versions.back().text);
+    }
+    return known->second;
+}
+
+} // namespace limpet::control
--- /dev/null
+++ b/libs/control/test/directory_feed_test.cpp
@@ -0,0 +1,222 @@
+/// What a replica sends to routers that subscribed, over a recording hub.
+
+#include "directory_feed.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <utility>
+#include <vector>
+
+using namespace limpet;
+using namespace limpet::control;
+
+namespace
+{
+
+/// Takes frames in place of a network.
+class recording_hub final : public wire::link_hub
+{
+public:
+    const wire::link_identity& self() const override
+    {
+        return m_self;
+    }
+
+    void set_peer(const vm_id& /*peer*/,
+                  const boost::asio::ip::tcp::endpoint& /*at*/) override
+    {
+    }
+
+    void remove_peer(const vm_id& /*peer*/) override {}
+
+    status send(const vm_id& peer,
+                wire::channel /*kind*/,
+                std::string payload) override
+    {
+        auto decoded =
+            directory::decode_update(payload, monotonic_clock::now());
+        BOOST_REQUIRE(is_ok(decoded));
+        sent.emplace_back(peer, std::move(value_of(decoded)));
+        return success();
+    }
+
+    const wire::traffic_counters& counters() const override
+    {
+        return m_counters;
+    }
+
+    status set_fault(const vm_id& /*peer*/, wire::link_fault /*what*/) override
+    {
+        return success();
+    }
+
+    void close() override {}
+
+    std::vector<std::pair<vm_id, directory::update>> sent;
+
+private:
+    wire::link_identity m_self{
+        vm_id("10.0.0.1"), data_centre_id("north"), incarnation(1), ""};
+    wire::traffic_counters m_counters;
+};
+
+/// A replica that leads, one router and the orders between them.
+struct feed_router_subscribed
+{
+    boost::asio::io_context context;
+    std::shared_ptr<recording_hub> hub = std::make_shared<recording_hub>();
+    directory::intent orders;
+    directory_feed feed{context, hub, seconds(1), make_callbacks()};
+    const vm_id router{"10.0.1.1"};
+    std::uint64_t start = 1;
+
+    feed_router_subscribed()
+    {
+        put(1);
+        confirm(0);
+        confirm(1);
+        hub->sent.clear();
+    }
+
+    feed_callbacks make_callbacks()
+    {
+        feed_callbacks callbacks;
+        callbacks.orders = [this]
+        {
+            return &orders;
+        };
+        callbacks.replicas = []
+        {
+            return std::vector<vm_id>{};
+        };
+        callbacks.on_contacts = [](const std::vector<vm_id>&) {};
+        callbacks.on_tick = [] {};
+        return callbacks;
+    }
+
+    void put(std::uint64_t version)
+    {
+        directory::command order;
+        order.version = directory::document_version(version);
+        order.document = directory::packed_text::pack(document(version));
+        orders.apply(version, order);
+        feed.orders_changed();
+    }
+
+    static std::string document(std::uint64_t version)
+    {
+        return R"([{"name":"a"},{"version":)" + std::to_string(version) + "}]";
+    }
+
+    /// The router's frame that says what it holds.
+    void confirm(std::uint64_t held)
+    {
+        directory::update news;
+        news.subscribes = true;
+        news.is_router = true;
+        news.intent_index = held;
+        feed.receive({router, data_centre_id("north"), incarnation(start), ""},
+                     encode(news, monotonic_clock::now()));
+    }
+
+    /// Indexes of the orders that were sent.
+    std::vector<std::uint64_t> told() const
+    {
+        std::vector<std::uint64_t> indexes;
+        for (const auto& [peer, news] : hub->sent)
+        {
+            if (news.orders)
+            {
+                indexes.push_back(news.orders->index);
+            }
+        }
+        return indexes;
+    }
+};
+
+using indexes = std::vector<std::uint64_t>;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(orders_to_routers)
+
+BOOST_FIXTURE_TEST_CASE(orders_on_their_way_are_not_sent_again,
+                        feed_router_subscribed)
+{
+    put(2);
+    // Sent by the router before the orders reached it.
+    confirm(1);
+    confirm(1);
+    BOOST_TEST(told() == indexes{2}, boost::test_tools::per_element());
+}
+
+BOOST_FIXTURE_TEST_CASE(only_the_newest_of_several_orders_follows,
+                        feed_router_subscribed)
+{
+    put(2);
+    put(3);
+    put(4);
+    BOOST_TEST(told() == indexes{2}, boost::test_tools::per_element());
+    confirm(2);
+    BOOST_TEST(told() == (indexes{2, 4}), boost::test_tools::per_element());
+}
+
+BOOST_FIXTURE_TEST_CASE(orders_lost_with_their_link_are_sent_again,
+                        feed_router_subscribed)
+{
+    put(2);
+    feed.on_lost(router);
+    confirm(1);
+    BOOST_TEST(told() == (indexes{2, 2}), boost::test_tools::per_element());
+}
+
+BOOST_FIXTURE_TEST_CASE(restarted_router_is_sent_what_its_former_start_was,
+                        feed_router_subscribed)
+{
+    put(2);
+    start = 2;
+    confirm(0);
+    BOOST_TEST(told() == (indexes{2, 2}), boost::test_tools::per_element());
+}
+
+BOOST_FIXTURE_TEST_CASE(router_that_holds_a_recent_document_is_sent_the_change,
+                        feed_router_subscribed)
+{
+    put(2);
+    const directory::update& news = hub->sent.back().second;
+    BOOST_REQUIRE(news.change.has_value());
+    BOOST_TEST(news.change->base_index == 1U);
+    BOOST_TEST((news.orders->document == nullptr));
+    const auto made = directory::apply_delta(news.change->delta, document(1));
+    BOOST_REQUIRE(is_ok(made));
+    BOOST_TEST(value_of(made) == document(2));
+}
+
+BOOST_FIXTURE_TEST_CASE(router_without_a_known_document_is_sent_the_whole,
+                        feed_router_subscribed)
+{
+    put(2);
+    start = 2;
+    confirm(0);
+    const directory::update& news = hub->sent.back().second;
+    BOOST_TEST(!news.change.has_value());
+    BOOST_REQUIRE((news.orders->document != nullptr));
+    BOOST_TEST(value_of(news.orders->document->unpack()) == document(2));
+}
+
+BOOST_FIXTURE_TEST_CASE(order_for_a_data_centre_does_not_send_the_document,
+                        feed_router_subscribed)
+{
+    directory::command order;
+    order.kind = directory::command_kind::take_out;
+    order.data_centre = "north";
+    orders.apply(2, order);
+    feed.orders_changed();
+    const directory::update& news = hub->sent.back().second;
+    BOOST_TEST(news.orders->taken_out.contains("north"));
+    BOOST_REQUIRE(news.change.has_value());
+    BOOST_TEST(news.change->delta.pieces.size() == 1U);
+    BOOST_TEST(news.change->delta.pieces[0].added.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/directory/include/limpet/directory/update.hpp
+++ b/libs/directory/include/limpet/directory/update.hpp
@@ -6,6 +6,7 @@
 #include <limpet/base/ids.hpp>
 #include <limpet/directory/intent.hpp>
 #include <limpet/directory/registration.hpp>
+#include <limpet/directory/text_delta.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -16,6 +17,13 @@
 namespace limpet::directory
 {
 
+/// A document as what changed since the one of the orders at the index.
+struct document_change
+{
+    std::uint64_t base_index = 0;
+    text_delta delta;
+};
+
 /// What one process tells another. Every part may be missing.
 struct update
 {
@@ -25,6 +33,8 @@
     /// Index of the intent that the sender holds.
     std::uint64_t intent_index = 0;
     std::optional<intent> orders;
+    /// Takes the place of the document of the orders.
+    std::optional<document_change> change;
     /// Replicas that the sender knows of.
     std::vector<vm_id> replicas;
     /// Routers that the sender heard of lately.
--- a/libs/directory/src/registration.cpp
+++ b/libs/directory/src/registration.cpp
@@ -20,16 +20,24 @@
         each.born_ms, each.state == server_state::gone, each.sequence);
 }
 
-bool differs(const registration& a, const registration& b)
+/// Returns whether both are the same description, perhaps by other ways.
+bool is_copy(const registration& a, const registration& b)
 {
-    const duration shift = a.cold_until > b.cold_until
-                               ? a.cold_until - b.cold_until
-                               : b.cold_until - a.cold_until;
-    const bool cold_changed =
-        shift > cold_tolerance && b.cold_until > b.heard_at;
-    return a.born_ms != b.born_ms || a.state != b.state ||
-           a.address != b.address || a.service != b.service ||
-           a.data_centre != b.data_centre || a.slots != b.slots || cold_changed;
+    return a.born_ms == b.born_ms && a.sequence == b.sequence;
+}
+
+bool differs(const registration& held, const registration& news)
+{
+    const duration shift = held.cold_until > news.cold_until
+                               ? held.cold_until - news.cold_until
+                               : news.cold_until - held.cold_until;
+    const bool cold_changed = shift > cold_tolerance &&
+                              news.cold_until > news.heard_at &&
+                              !is_copy(held, news);
+    return held.born_ms != news.born_ms || held.state != news.state ||
+           held.address != news.address || held.service != news.service ||
+           held.data_centre != news.data_centre || held.slots != news.slots ||
+           cold_changed;
 }
 
 } // namespace
@@ -84,8 +92,14 @@
     }
     const bool is_change = differs(held, news);
     const time_point heard = std::max(held.heard_at, news.heard_at);
+    // A span that travels counts from its arrival: the copy that took the
+    // shortest time is the truest.
+    const time_point cold_until =
+        is_copy(held, news) ? std::min(held.cold_until, news.cold_until)
+                            : news.cold_until;
     held = news;
     held.heard_at = heard;
+    held.cold_until = cold_until;
     if (!is_change)
     {
         return merge_result::refreshed;
--- a/libs/directory/src/update.cpp
+++ b/libs/directory/src/update.cpp
@@ -91,6 +91,36 @@
     return out;
 }
 
+flatbuffers::Offset<fb::document_change>
+write_change(builder_type& builder, const document_change& from)
+{
+    std::vector<flatbuffers::Offset<fb::piece>> pieces;
+    pieces.reserve(from.delta.pieces.size());
+    for (const delta_piece& each : from.delta.pieces)
+    {
+        pieces.push_back(fb::CreatepieceDirect(
+            builder, each.begin, each.length, each.added.c_str()));
+    }
+    return fb::Createdocument_changeDirect(
+        builder, from.base_index, &pieces, from.delta.digest);
+}
+
+document_change read_change(const fb::document_change& from)
+{
+    document_change out;
+    out.base_index = from.base_index();
+    out.delta.digest = from.digest();
+    if (from.pieces() != nullptr)
+    {
+        for (const auto* each : *from.pieces())
+        {
+            out.delta.pieces.push_back(
+                {each->begin(), each->length(), text_or_empty(each->added())});
+        }
+    }
+    return out;
+}
+
 } // namespace
 
 std::string encode(const update& from, time_point now)
@@ -120,6 +150,11 @@
         }
         evacuated = write_texts(builder, from.orders->taken_out);
     }
+    flatbuffers::Offset<fb::document_change> change;
+    if (from.change)
+    {
+        change = write_change(builder, *from.change);
+    }
     builder.Finish(fb::Createupdate(builder,
                                     from.subscribes,
                                     from.is_router,
@@ -130,7 +165,8 @@
                                     replica_list,
                                     from.routers,
                                     from.is_complete,
-                                    row_list));
+                                    row_list,
+                                    change));
     return bytes_of(builder);
 }
 
@@ -152,6 +188,10 @@
     {
         out.orders = read_intent(*from);
     }
+    if (from->change() != nullptr)
+    {
+        out.change = read_change(*from->change());
+    }
     if (from->replicas() != nullptr)
     {
         for (const auto* each : *from->replicas())
--- a/libs/directory/test/registration_test.cpp
+++ b/libs/directory/test/registration_test.cpp
@@ -42,6 +42,32 @@
     BOOST_TEST((state_of(table, "a") == server_state::draining));
 }
 
+BOOST_AUTO_TEST_CASE(delayed_copy_of_a_description_is_no_change)
+{
+    registration_table table;
+    registration cold = make_row("a", 1);
+    cold.cold_until = start + seconds(3);
+    table.merge(cold);
+    // Spans count from their arrival, so a copy that took long ends later.
+    registration copy = cold;
+    copy.cold_until = start + seconds(5);
+    BOOST_TEST((table.merge(copy) == merge_result::refreshed));
+    BOOST_TEST((table.find(engine_id("a"))->cold_until == cold.cold_until));
+    copy.cold_until = start + seconds(2);
+    BOOST_TEST((table.merge(copy) == merge_result::refreshed));
+    BOOST_TEST((table.find(engine_id("a"))->cold_until == copy.cold_until));
+}
+
+BOOST_AUTO_TEST_CASE(server_that_turned_cold_again_is_a_change)
+{
+    registration_table table;
+    table.merge(make_row("a", 1));
+    registration cold = make_row("a", 2);
+    cold.cold_until = start + seconds(3);
+    BOOST_TEST((table.merge(cold) == merge_result::changed));
+    BOOST_TEST((table.find(engine_id("a"))->cold_until == cold.cold_until));
+}
+
 BOOST_AUTO_TEST_CASE(server_that_left_stays_gone_until_a_later_start)
 {
     registration_table table;
--- a/libs/gateway/src/directory_client.cpp
+++ b/libs/gateway/src/directory_client.cpp
@@ -128,7 +128,7 @@
     directory::update news;
     news.subscribes = true;
     news.is_router = true;
-    news.intent_index = m_intent_index;
+    news.intent_index = m_wants_whole ? 0 : m_orders.index;
     const status sent = m_hub->send(
         vm, wire::channel::directory, encode(news, monotonic_clock::now()));
     if (!is_ok(sent))
@@ -198,7 +198,9 @@
     }
     if (news.orders)
     {
-        take_orders(*news.orders);
+        take_orders(news);
+        // The sender waits for this before it sends newer orders.
+        subscribe(from);
     }
     for (const directory::registration& row : news.registrations)
     {
@@ -225,14 +227,38 @@
     }
 }
 
-void directory_client::take_orders(const directory::intent& orders)
+void directory_client::take_orders(const directory::update& news)
 {
-    if (orders.index <= m_intent_index)
+    if (news.orders->index <= m_orders.index)
     {
         return;
     }
-    m_intent_index = orders.index;
-    m_callbacks.on_orders(orders);
+    auto document = read_document(news);
+    m_wants_whole = !is_ok(document);
+    if (m_wants_whole)
+    {
+        log_event(log_level::error,
+                  "orders.unreadable",
+                  {{"index", news.orders->index},
+                   {"held", m_orders.index},
+                   {"reason", error_of(document).message}});
+        return;
+    }
+    m_orders = {news.orders->index,
+                std::move(value_of(document)),
+                news.orders->taken_out};
+    m_callbacks.on_orders(m_orders);
+}
+
+outcome<std::string>
+directory_client::read_document(const directory::update& news) const
+{
+    if (news.change)
+    {
+        return directory::apply_delta(news.change->delta, m_orders.document);
+    }
+    return news.orders->document ? news.orders->document->unpack()
+                                 : std::string();
 }
 
 } // namespace limpet::gateway
--- a/libs/gateway/src/directory_client.hpp
+++ b/libs/gateway/src/directory_client.hpp
@@ -13,14 +13,27 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
 
 namespace limpet::gateway
 {
 
+/// The operators' orders in force.
+struct orders_in_force
+{
+    /// Position in the replicas' log; 0 before the first.
+    std::uint64_t index = 0;
+    /// The document; empty before the first.
+    std::string document;
+    /// Data centres whose servers get no requests.
+    std::set<std::string> taken_out;
+};
+
 /// What the gateway does with the news.
 struct directory_callbacks
 {
-    std::function<void(const directory::intent&)> on_orders;
+    std::function<void(const orders_in_force&)> on_orders;
     std::function<void(const directory::registration&)> on_registration;
     std::function<void(std::uint32_t)> on_routers;
 };
@@ -52,7 +65,9 @@
 
     void add_replica(const vm_id& vm);
     void receive(const vm_id& from, std::string_view payload);
-    void take_orders(const directory::intent& orders);
+    void take_orders(const directory::update& news);
+    /// Returns the document that the news tell of. Errors: corrupt.
+    outcome<std::string> read_document(const directory::update& news) const;
     void tick();
     void schedule();
     void subscribe(const vm_id& vm);
@@ -62,7 +77,9 @@
     std::shared_ptr<wire::link_hub> m_hub;
     std::map<vm_id, replica> m_replicas;
     directory::registration_table m_table;
-    std::uint64_t m_intent_index = 0;
+    orders_in_force m_orders;
+    /// Whether the next orders must come whole, as a change did not fit.
+    bool m_wants_whole = false;
     bool m_closed = false;
 };
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -130,7 +130,7 @@
     status open_directory()
     {
         directory_callbacks callbacks;
-        callbacks.on_orders = [this](const directory::intent& orders)
+        callbacks.on_orders = [this](const orders_in_force& orders)
         {
             take_orders(orders);
         };
@@ -152,22 +152,14 @@
         return success();
     }
 
-    void take_orders(const directory::intent& orders)
+    void take_orders(const orders_in_force& orders)
     {
         m_state.pool.set_taken_out(orders.taken_out);
-        if (!orders.document)
+        if (orders.document.empty())
         {
             return;
         }
-        const auto text = orders.document->unpack();
-        if (!is_ok(text))
-        {
-            log_event(log_level::error,
-                      "document.unreadable",
-                      {{"reason", error_of(text).message}});
-            return;
-        }
-        auto plan = m_state.language.read_document(value_of(text));
+        auto plan = m_state.language.read_document(orders.document);
         if (!is_ok(plan))
         {
             log_event(log_level::error,
