--- a/libs/consensus/src/node_impl.hpp
+++ b/libs/consensus/src/node_impl.hpp
@@ -31,6 +31,7 @@
     /// Snapshot being sent and the bytes that arrived.
     std::shared_ptr<const storage::snapshot> sending;
     std::uint64_t received = 0;
+    time_point chunk_sent_at{};
 };
 
 /// Persist request that is not durable yet.
@@ -132,7 +133,8 @@
     void broadcast();
     void replicate(const replica_id& to, follower_progress& progress);
     void send_entries(const replica_id& to, follower_progress& progress);
-    void send_heartbeat(const replica_id& to, follower_progress& progress);
+    void send_heartbeat(const replica_id& to, log_index last);
+    void send_chunk_again(const replica_id& to, follower_progress& progress);
     void send_chunk(const replica_id& to, follower_progress& progress);
     void on_append_answer(const message& from, const append_answer& answer);
     void on_snapshot_answer(const message& from, const snapshot_answer& answer);
--- a/libs/consensus/src/node_leader.cpp
+++ b/libs/consensus/src/node_leader.cpp
@@ -55,15 +55,13 @@
     {
         if (progress.sending)
         {
-            send_chunk(id, progress);
-        }
-        else if (progress.probing && progress.next > m_log.base())
-        {
-            send_entries(id, progress);
+            send_chunk_again(id, progress);
         }
         else if (progress.next > m_log.base())
         {
-            send_heartbeat(id, progress);
+            // While it is unknown where the logs agree, entries would be sent
+            // again with each of these, which fills a narrow link.
+            send_heartbeat(id, previous(progress.next));
         }
         else
         {
@@ -84,7 +82,7 @@
         }
         else if (!progress.probing && !progress.sending)
         {
-            send_heartbeat(id, progress);
+            send_heartbeat(id, previous(progress.next));
         }
     }
 }
@@ -118,27 +116,38 @@
     request.committed = m_committed;
     request.round = next_round();
     request.entries = m_log.slice(progress.next, m_settings.append_bytes);
-    if (!progress.probing)
-    {
-        progress.next = advance(progress.next, request.entries.size());
-    }
+    progress.next = advance(progress.next, request.entries.size());
     send(to, std::move(request));
 }
 
-void node::impl::send_heartbeat(const replica_id& to,
-                                follower_progress& progress)
+/// Sends a request without entries that says what the log holds at the index.
+void node::impl::send_heartbeat(const replica_id& to, log_index last)
 {
     append_request request;
-    request.previous = previous(progress.next);
+    request.previous = last;
     request.previous_term = *m_log.term_at(request.previous);
     request.committed = m_committed;
     request.round = next_round();
     send(to, std::move(request));
 }
 
+/// Sends the part of the snapshot once more if it was not acknowledged for
+/// long, and else a heartbeat.
+void node::impl::send_chunk_again(const replica_id& to,
+                                  follower_progress& progress)
+{
+    if (m_now >= progress.chunk_sent_at + m_settings.election_timeout)
+    {
+        send_chunk(to, progress);
+        return;
+    }
+    send_heartbeat(to, m_log.base());
+}
+
 void node::impl::send_chunk(const replica_id& to, follower_progress& progress)
 {
     const storage::snapshot& source = *progress.sending;
+    progress.chunk_sent_at = m_now;
     snapshot_chunk chunk;
     chunk.index = source.index;
     chunk.index_term = source.term;
@@ -196,7 +205,7 @@
     progress.next = retry;
     if (progress.next > m_log.base())
     {
-        send_entries(from.from, progress);
+        send_heartbeat(from.from, previous(progress.next));
     }
     else
     {
--- a/libs/consensus/test/seeded_group_test.cpp
+++ b/libs/consensus/test/seeded_group_test.cpp
@@ -17,6 +17,22 @@
 
 constexpr duration tick_length = milliseconds(50);
 
+/// Returns the bytes of the entries or the part of a snapshot in a message.
+std::size_t size_of(const message& sent)
+{
+    if (const auto* append = std::get_if<append_request>(&sent.body))
+    {
+        std::size_t bytes = 0;
+        for (const storage::log_entry& each : append->entries)
+        {
+            bytes += each.data.size();
+        }
+        return bytes;
+    }
+    const auto* chunk = std::get_if<snapshot_chunk>(&sent.body);
+    return chunk == nullptr ? 0 : chunk->bytes.size();
+}
+
 /// Nodes with disks that never fail, joined by a network that loses what is
 /// sent to a node that is down.
 struct seeded_group
@@ -27,6 +43,8 @@
     std::map<vm_id, std::vector<request_result>> results;
     time_point now{seconds(100)};
     settings options;
+    /// Bytes of entries and snapshots that were sent to each VM.
+    std::map<vm_id, std::size_t> bytes_sent;
 
     seeded_group()
     {
@@ -78,6 +96,7 @@
             message next = std::move(sent.front());
             sent.pop_front();
             const vm_id to = next.to.vm;
+            bytes_sent[to] += size_of(next);
             if (nodes.contains(to) && !down.contains(to) &&
                 !down.contains(next.from.vm))
             {
@@ -222,4 +241,31 @@
     BOOST_TEST(voters() == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(silent_follower_of_a_new_leader_is_not_sent_entries_again)
+{
+    constexpr std::size_t entry_bytes = 20000;
+    for (const char* name : {"a", "b", "c"})
+    {
+        start(name, seeds_abc(), true);
+    }
+    start("d", seeds_abc(), false);
+    start("e", seeds_abc(), false);
+    run_for(seconds(10));
+    const vm_id former = leaders().at(0);
+    const vm_id silent(former == vm_id("a") ? "b" : "a");
+    down = {former, silent};
+    run_for(seconds(10));
+    // A new leader does not know where its log and the silent one's agree.
+    BOOST_REQUIRE(leaders().size() == 1U);
+    const vm_id leader = leaders().at(0);
+    bytes_sent.clear();
+    step(leader, propose{{{ticket(1), std::string(entry_bytes, 'x')}}});
+    run_for(seconds(3));
+    BOOST_TEST(bytes_sent[silent] <= 2 * entry_bytes);
+    down.erase(silent);
+    run_for(seconds(1));
+    BOOST_TEST((nodes.at(silent).view(now).committed ==
+                nodes.at(leader).view(now).committed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/control/include/limpet/control/fleet_orders.hpp
+++ b/libs/control/include/limpet/control/fleet_orders.hpp
@@ -36,6 +36,14 @@
         outcome<std::shared_ptr<const directory::packed_text>>>
     read_document() = 0;
 
+    /// Returns whether orders given to this replica have a chance.
+    virtual bool is_leader() const = 0;
+
+    /// Returns the version of the document as this replica knows it, nothing
+    /// before the first.
+    virtual std::optional<directory::document_version>
+    version_in_force() const = 0;
+
     /// Takes what a backend server says of itself.
     virtual directory::merge_result
     take(const directory::registration& news) = 0;
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -218,10 +218,14 @@
     void start_feed()
     {
         feed_callbacks callbacks;
-        callbacks.orders = [this]() -> const directory::intent*
+        callbacks.orders = [this]() -> const directory::intent&
+        {
+            return m_state.orders();
+        };
+        callbacks.is_sure = [this]
         {
             // A follower may lag, and any replica does after a restart.
-            return m_replica->view().has_lease ? &m_state.orders() : nullptr;
+            return m_replica->view().has_lease;
         };
         callbacks.replicas = [this]
         {
@@ -319,6 +323,17 @@
         co_return m_state.orders().document;
     }
 
+    bool is_leader() const override
+    {
+        return m_replica->view().is_leader;
+    }
+
+    std::optional<directory::document_version> version_in_force() const override
+    {
+        const directory::intent& orders = m_state.orders();
+        return orders.document ? std::optional(orders.version) : std::nullopt;
+    }
+
     directory::merge_result take(const directory::registration& news) override
     {
         return m_feed->take(news);
--- a/libs/control/src/directory_feed.cpp
+++ b/libs/control/src/directory_feed.cpp
@@ -161,8 +161,15 @@
     known.start = from.start;
     known.is_router = news.is_router;
     known.heard_at = now;
+    const bool has_arrived = news.intent_index > known.orders.held();
     known.orders.confirm(news.intent_index);
     tell(from.vm, known, is_new);
+    if (has_arrived)
+    {
+        m_window.release(from.vm);
+        // Others may wait for the room.
+        tell_all(false);
+    }
 }
 
 void directory_feed::on_lost(const vm_id& peer)
@@ -172,19 +179,18 @@
     {
         known->second.sent_change = 0;
         known->second.orders.forget_sent();
+        m_window.release(peer);
     }
 }
 
 void directory_feed::tell(const vm_id& peer, subscriber& to, bool is_forced)
 {
     directory::update news;
-    const directory::intent* orders = m_callbacks.orders();
     const time_point now = monotonic_clock::now();
-    if (orders != nullptr && to.is_router &&
-        to.orders.is_due(orders->index, now))
+    if (to.is_router && m_callbacks.is_sure() &&
+        to.orders.is_due(m_callbacks.orders().index, now))
     {
-        add_orders(news, *orders, to.orders.held());
-        to.orders.note_sent(orders->index, now);
+        add_orders(news, peer, to, now);
     }
     news.is_complete = to.sent_change == 0;
     to.sent_change =
@@ -202,19 +208,30 @@
 }
 
 /// Adds the orders, the document as a change where the subscriber holds one
-/// that is still known.
+/// that is still known. Whole documents wait until others have arrived.
 void directory_feed::add_orders(directory::update& news,
-                                const directory::intent& orders,
-                                std::uint64_t held)
+                                const vm_id& peer,
+                                subscriber& to,
+                                time_point now)
 {
+    const directory::intent& orders = m_callbacks.orders();
     m_documents.add(orders);
+    news.change = m_documents.change_since(to.orders.held());
+    if (!news.change && orders.document)
+    {
+        if (!m_window.has_room(now))
+        {
+            return;
+        }
+        m_window.note_sent(peer, orders.document->bytes().size(), now);
+    }
     news.intent_index = orders.index;
     news.orders = orders;
-    news.change = m_documents.change_since(held);
     if (news.change)
     {
         news.orders->document = nullptr;
     }
+    to.orders.note_sent(orders.index, now);
 }
 
 void directory_feed::tell_all(bool is_forced)
@@ -234,6 +251,7 @@
 
 void directory_feed::orders_changed()
 {
+    m_documents.add(m_callbacks.orders());
     tell_all(false);
 }
 
--- a/libs/control/src/directory_feed.hpp
+++ b/libs/control/src/directory_feed.hpp
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "delivery_window.hpp"
 #include "document_history.hpp"
 #include "order_delivery.hpp"
 
@@ -23,9 +24,10 @@
 /// Hooks of the replica around the feed.
 struct feed_callbacks
 {
-    /// Returns the orders in force, or null while this replica cannot be
-    /// sure that it knows the newest ones.
-    std::function<const directory::intent*()> orders;
+    /// Returns the orders as this replica knows them.
+    std::function<const directory::intent&()> orders;
+    /// Returns whether this replica is sure that they are the newest ones.
+    std::function<bool()> is_sure;
     /// VMs of the control group as this replica knows them.
     std::function<std::vector<vm_id>()> replicas;
     std::function<void(std::vector<vm_id>)> on_contacts;
@@ -56,7 +58,8 @@
     /// The link to the peer ended; what was sent may be lost.
     void on_lost(const vm_id& peer);
 
-    /// Tells all subscribers of orders that were just put in force.
+    /// Takes note of orders that were just put in force and tells all
+    /// subscribers, if this replica is sure of them.
     void orders_changed();
 
     /// Takes what a backend server says of itself and passes a change on
@@ -90,8 +93,9 @@
     void tell(const vm_id& peer, subscriber& to, bool is_forced);
     void tell_all(bool is_forced);
     void add_orders(directory::update& news,
-                    const directory::intent& orders,
-                    std::uint64_t held);
+                    const vm_id& peer,
+                    subscriber& to,
+                    time_point now);
     void send_signs_of_life();
     void send(const vm_id& peer, const directory::update& news);
 
@@ -102,6 +106,7 @@
     directory::registration_table m_table;
     std::map<vm_id, subscriber> m_subscribers;
     document_history m_documents;
+    delivery_window m_window;
     std::vector<vm_id> m_contacts;
     /// Servers that reported here since the last tick.
     std::vector<engine_id> m_reported;
--- a/libs/control/test/directory_feed_test.cpp
+++ b/libs/control/test/directory_feed_test.cpp
@@ -2,8 +2,11 @@
 
 #include "directory_feed.hpp"
 
+#include <limpet/base/random.hpp>
+
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -66,6 +69,7 @@
     boost::asio::io_context context;
     std::shared_ptr<recording_hub> hub = std::make_shared<recording_hub>();
     directory::intent orders;
+    bool leads = true;
     directory_feed feed{context, hub, seconds(1), make_callbacks()};
     const vm_id router{"10.0.1.1"};
     std::uint64_t start = 1;
@@ -81,9 +85,13 @@
     feed_callbacks make_callbacks()
     {
         feed_callbacks callbacks;
-        callbacks.orders = [this]
+        callbacks.orders = [this]() -> const directory::intent&
+        {
+            return orders;
+        };
+        callbacks.is_sure = [this]
         {
-            return &orders;
+            return leads;
         };
         callbacks.replicas = []
         {
@@ -95,10 +103,15 @@
     }
 
     void put(std::uint64_t version)
+    {
+        put(version, document(version));
+    }
+
+    void put(std::uint64_t version, std::string_view text)
     {
         directory::command order;
         order.version = directory::document_version(version);
-        order.document = directory::packed_text::pack(document(version));
+        order.document = directory::packed_text::pack(text);
         orders.apply(version, order);
         feed.orders_changed();
     }
@@ -110,12 +123,17 @@
 
     /// The router's frame that says what it holds.
     void confirm(std::uint64_t held)
+    {
+        confirm(router, held);
+    }
+
+    void confirm(const vm_id& from, std::uint64_t held)
     {
         directory::update news;
         news.subscribes = true;
         news.is_router = true;
         news.intent_index = held;
-        feed.receive({router, data_centre_id("north"), incarnation(start), ""},
+        feed.receive({from, data_centre_id("north"), incarnation(start), ""},
                      encode(news, monotonic_clock::now()));
     }
 
@@ -219,4 +237,57 @@
     BOOST_TEST(news.change->delta.pieces[0].added.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(replica_that_takes_the_lead_sends_changes_as_well,
+                        feed_router_subscribed)
+{
+    leads = false;
+    put(2);
+    put(3);
+    BOOST_TEST(told().empty());
+    leads = true;
+    confirm(2);
+    BOOST_TEST(told() == indexes{3}, boost::test_tools::per_element());
+    BOOST_TEST(hub->sent.back().second.change.has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(whole_documents_for_many_routers_are_sent_by_and_by,
+                        feed_router_subscribed)
+{
+    constexpr std::size_t routers = 20;
+    // Does not shrink when it is packed.
+    std::string text;
+    random_source random(1);
+    while (text.size() < 30UL * 1024)
+    {
+        text += static_cast<char>(random.below(256));
+    }
+    put(2, text);
+    std::vector<vm_id> waiting;
+    for (std::size_t i = 0; i < routers; ++i)
+    {
+        waiting.emplace_back("10.0.2." + std::to_string(i));
+        confirm(waiting.back(), 0);
+    }
+    const auto whole_ones = [this]
+    {
+        return static_cast<std::size_t>(std::count_if(
+            hub->sent.begin(),
+            hub->sent.end(),
+            [](const auto& each)
+            {
+                return each.second.orders && each.second.orders->document;
+            }));
+    };
+    BOOST_TEST(whole_ones() <= 3U);
+    for (std::size_t i = 0; i < hub->sent.size(); ++i)
+    {
+        const auto [peer, news] = hub->sent[i];
+        if (news.orders)
+        {
+            confirm(peer, 2);
+        }
+    }
+    BOOST_TEST(whole_ones() == routers);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
