The control log holds documents as changes of the one in force

An order for a document of 1,100 routes put 45 KB into the log for each of seven followers, 0.4 s of a leader's link of 6 Mbit/s and most of its election timeout, so that the lead moved and orders went unacknowledged while routers were sent 45 KB each.

Now an order is proposed as the pieces that changed, packed, with a digest of the result; one that meets another document in force is not taken and is proposed whole. State keeps the text and packs it only when it must be sent.

Tests: change_of_the_document_in_force_makes_the_next, change_of_another_document_is_not_taken, change_of_a_large_document_is_a_small_entry (an entry of over 3,000 bytes before, under 300 now).

--- a/libs/control/include/limpet/control/fleet_orders.hpp
+++ b/libs/control/include/limpet/control/fleet_orders.hpp
@@ -25,7 +25,8 @@
 public:
     virtual ~fleet_orders() = default;
 
-    /// Puts the order in force; returns once it is replicated and durable.
+    /// Puts the order in force; returns once it is replicated and durable. A
+    /// whole document is replicated as its change where that is possible.
     /// Errors: not_leader, certain to have no effect; unavailable, its fate
     /// is unknown.
     virtual boost::asio::awaitable<status> submit(directory::command order) = 0;
@@ -33,7 +34,7 @@
     /// Returns the newest document, null before the first. Errors: not_leader
     /// or unavailable if this replica cannot be sure of it.
     virtual boost::asio::awaitable<
-        outcome<std::shared_ptr<const directory::packed_text>>>
+        outcome<std::shared_ptr<const directory::stored_document>>>
     read_document() = 0;
 
     /// Returns whether orders given to this replica have a chance.
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -284,16 +284,13 @@
 
     net::awaitable<status> submit(directory::command order) override
     {
-        using result = outcome<replica::proposal_result>;
-        const std::string entry = make_entry(order);
-        // Named, as GCC 12 destroys temporaries of an awaited expression that
-        // capture objects twice.
-        const std::function<void(std::function<void(result)>)> propose =
-            [this, entry](std::function<void(result)> call)
+        // Another document may come into force while a change of the former
+        // one is being replicated; then the whole is.
+        auto done = co_await propose(as_change(order));
+        if (is_ok(done) && value_of(done).answer == other_base_answer)
         {
-            m_replica->propose(entry, std::move(call));
-        };
-        const result done = co_await await_callback<result>(propose);
+            done = co_await propose(order);
+        }
         if (!is_ok(done))
         {
             co_return error_of(done);
@@ -308,7 +305,39 @@
         co_return success();
     }
 
-    net::awaitable<outcome<std::shared_ptr<const directory::packed_text>>>
+    /// Returns the order with its document as a change of the one in force.
+    directory::command as_change(const directory::command& order) const
+    {
+        const directory::intent& known = m_state.orders();
+        if (!order.document || !known.document)
+        {
+            return order;
+        }
+        directory::command changed = order;
+        changed.document = nullptr;
+        changed.change = directory::change_of_version{
+            known.version,
+            directory::make_delta(known.document->text(),
+                                  order.document->text())};
+        return changed;
+    }
+
+    net::awaitable<outcome<replica::proposal_result>>
+    propose(const directory::command& order)
+    {
+        using result = outcome<replica::proposal_result>;
+        const std::string entry = make_entry(order);
+        // Named, as GCC 12 destroys temporaries of an awaited expression that
+        // capture objects twice.
+        const std::function<void(std::function<void(result)>)> start =
+            [this, entry](std::function<void(result)> call)
+        {
+            m_replica->propose(entry, std::move(call));
+        };
+        co_return co_await await_callback<result>(start);
+    }
+
+    net::awaitable<outcome<std::shared_ptr<const directory::stored_document>>>
     read_document() override
     {
         const status known = co_await await_callback<status>(
--- a/libs/control/src/control_state.cpp
+++ b/libs/control/src/control_state.cpp
@@ -99,7 +99,10 @@
         const auto order = directory::decode_command(entry.substr(1));
         if (is_ok(order))
         {
-            m_orders.apply(index, value_of(order));
+            const auto result = m_orders.apply(index, value_of(order));
+            return result == directory::order_result::other_base
+                       ? std::string(other_base_answer)
+                       : std::string();
         }
     }
     return {};
--- a/libs/control/src/control_state.hpp
+++ b/libs/control/src/control_state.hpp
@@ -15,6 +15,9 @@
 namespace limpet::control
 {
 
+/// Answer to an order whose document changes one that is not in force.
+constexpr std::string_view other_base_answer = "other_base";
+
 /// Returns the log entry of an operator's command.
 std::string make_entry(const config::command& order);
 
--- a/libs/control/src/directory_feed.cpp
+++ b/libs/control/src/directory_feed.cpp
@@ -223,7 +223,7 @@
         {
             return;
         }
-        m_window.note_sent(peer, orders.document->bytes().size(), now);
+        m_window.note_sent(peer, orders.document->packed().bytes().size(), now);
     }
     news.intent_index = orders.index;
     news.orders = orders;
--- a/libs/control/src/document_history.cpp
+++ b/libs/control/src/document_history.cpp
@@ -1,7 +1,5 @@
 #include "document_history.hpp"
 
-#include <limpet/base/log.hpp>
-
 #include <algorithm>
 
 namespace limpet::control
@@ -23,25 +21,7 @@
     {
         return;
     }
-    version added{orders.index, orders.document, {}};
-    if (!m_versions.empty() && m_versions.back().packed == orders.document)
-    {
-        added.text = m_versions.back().text;
-    }
-    else
-    {
-        auto text = orders.document->unpack();
-        if (!is_ok(text))
-        {
-            log_event(
-                log_level::error,
-                "document.unreadable",
-                {{"index", orders.index}, {"reason", error_of(text).message}});
-            return;
-        }
-        added.text = std::move(value_of(text));
-    }
-    m_versions.push_back(std::move(added));
+    m_versions.push_back({orders.index, orders.document});
     m_changes.clear();
     if (m_versions.size() > max_versions)
     {
@@ -66,8 +46,8 @@
     if (is_new)
     {
         known->second.base_index = index;
-        known->second.delta =
-            directory::make_delta(former->text, m_versions.back().text);
+        known->second.delta = directory::make_delta(
+            former->document->text(), m_versions.back().document->text());
     }
     return known->second;
 }
--- a/libs/control/src/document_history.hpp
+++ b/libs/control/src/document_history.hpp
@@ -10,7 +10,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <string>
 
 namespace limpet::control
 {
@@ -31,8 +30,7 @@
     struct version
     {
         std::uint64_t index = 0;
-        std::shared_ptr<const directory::packed_text> packed;
-        std::string text;
+        std::shared_ptr<const directory::stored_document> document;
     };
 
     std::deque<version> m_versions;
--- a/libs/control/test/directory_feed_test.cpp
+++ b/libs/control/test/directory_feed_test.cpp
@@ -111,7 +111,8 @@
     {
         directory::command order;
         order.version = directory::document_version(version);
-        order.document = directory::packed_text::pack(text);
+        order.document = std::make_shared<const directory::stored_document>(
+            std::string(text));
         orders.apply(version, order);
         feed.orders_changed();
     }
@@ -219,7 +220,7 @@
     const directory::update& news = hub->sent.back().second;
     BOOST_TEST(!news.change.has_value());
     BOOST_REQUIRE((news.orders->document != nullptr));
-    BOOST_TEST(value_of(news.orders->document->unpack()) == document(2));
+    BOOST_TEST(news.orders->document->text() == document(2));
 }
 
 BOOST_FIXTURE_TEST_CASE(order_for_a_data_centre_does_not_send_the_document,
--- a/libs/directory/include/limpet/directory/text_delta.hpp
+++ b/libs/directory/include/limpet/directory/text_delta.hpp
@@ -36,6 +36,11 @@
 /// they end with a closing brace, as the entries of JSON lists do.
 text_delta make_delta(std::string_view former, std::string_view text);
 
+/// Returns the packed bytes of the delta, and the delta of such bytes. Errors:
+/// malformed.
+std::string encode(const text_delta& from);
+outcome<text_delta> decode_delta(std::string_view bytes);
+
 /// Returns the new text. Errors: corrupt if the delta belongs to another
 /// former text.
 outcome<std::string> apply_delta(const text_delta& delta,
--- a/libs/directory/src/intent.cpp
+++ b/libs/directory/src/intent.cpp
@@ -22,13 +22,25 @@
 std::string encode(const command& order)
 {
     flatbuffers::FlatBufferBuilder builder;
-    const auto document = builder.CreateString(order.document.bytes());
+    flatbuffers::Offset<flatbuffers::String> document;
+    if (order.document)
+    {
+        document = builder.CreateString(order.document->packed().bytes());
+    }
+    flatbuffers::Offset<flatbuffers::String> change;
+    if (order.change)
+    {
+        change = builder.CreateString(encode(order.change->delta));
+    }
     const auto data_centre = builder.CreateString(order.data_centre);
-    builder.Finish(fb::Createcommand(builder,
-                                     static_cast<std::uint8_t>(order.kind),
-                                     order.version.get(),
-                                     document,
-                                     data_centre));
+    builder.Finish(
+        fb::Createcommand(builder,
+                          static_cast<std::uint8_t>(order.kind),
+                          order.version.get(),
+                          document,
+                          data_centre,
+                          change,
+                          order.change ? order.change->base.get() : 0));
     return bytes_of(builder);
 }
 
@@ -43,45 +55,89 @@
     command order;
     order.kind = static_cast<command_kind>(from->kind());
     order.version = document_version(from->version());
-    order.document = packed_text(text_or_empty(from->document()));
     order.data_centre = text_or_empty(from->data_centre());
+    if (from->document() != nullptr && from->document()->size() > 0)
+    {
+        auto document =
+            stored_document::unpack(packed_text(from->document()->str()));
+        if (!is_ok(document))
+        {
+            return error_of(document);
+        }
+        order.document = std::move(value_of(document));
+    }
+    if (from->change() != nullptr)
+    {
+        auto delta = decode_delta(from->change()->str());
+        if (!is_ok(delta))
+        {
+            return error_of(delta);
+        }
+        order.change = change_of_version{document_version(from->base_version()),
+                                         std::move(value_of(delta))};
+    }
     return order;
 }
 
-bool intent::apply(std::uint64_t at, const command& order)
+order_result intent::apply(std::uint64_t at, const command& order)
 {
-    bool is_change = false;
+    const auto result_of = [](bool is_change)
+    {
+        return is_change ? order_result::changed : order_result::unchanged;
+    };
+    order_result result = order_result::unchanged;
     switch (order.kind)
     {
     case command_kind::put_document:
-        is_change = !document || order.version > version;
-        if (is_change)
-        {
-            version = order.version;
-            document = std::make_shared<const packed_text>(order.document);
-        }
+        result = put_document(order);
         break;
     case command_kind::take_out:
-        is_change = taken_out.insert(order.data_centre).second;
+        result = result_of(taken_out.insert(order.data_centre).second);
         break;
     case command_kind::bring_back:
-        is_change = taken_out.erase(order.data_centre) > 0;
+        result = result_of(taken_out.erase(order.data_centre) > 0);
         break;
     }
-    if (is_change)
+    if (result == order_result::changed)
     {
         index = at;
     }
-    return is_change;
+    return result;
+}
+
+order_result intent::put_document(const command& order)
+{
+    if (document && order.version <= version)
+    {
+        return order_result::unchanged;
+    }
+    auto made = order.document;
+    if (order.change)
+    {
+        if (!document || order.change->base != version)
+        {
+            return order_result::other_base;
+        }
+        auto text = apply_delta(order.change->delta, document->text());
+        if (!is_ok(text))
+        {
+            return order_result::other_base;
+        }
+        made =
+            std::make_shared<const stored_document>(std::move(value_of(text)));
+    }
+    version = order.version;
+    document = std::move(made);
+    return order_result::changed;
 }
 
 std::string encode(const intent& state)
 {
     flatbuffers::FlatBufferBuilder builder;
     const auto evacuated = write_texts(builder, state.taken_out);
-    const auto document = state.document
-                              ? builder.CreateString(state.document->bytes())
-                              : flatbuffers::Offset<flatbuffers::String>();
+    const auto document =
+        state.document ? builder.CreateString(state.document->packed().bytes())
+                       : flatbuffers::Offset<flatbuffers::String>();
     builder.Finish(fb::Createsnapshot(
         builder, state.index, state.version.get(), document, evacuated));
     return bytes_of(builder);
@@ -100,8 +156,13 @@
     state.version = document_version(from->version());
     if (from->document() != nullptr)
     {
-        state.document =
-            std::make_shared<const packed_text>(from->document()->str());
+        auto document =
+            stored_document::unpack(packed_text(from->document()->str()));
+        if (!is_ok(document))
+        {
+            return error_of(document);
+        }
+        state.document = std::move(value_of(document));
     }
     if (from->evacuated() != nullptr)
     {
--- a/libs/directory/src/text_delta.cpp
+++ b/libs/directory/src/text_delta.cpp
@@ -1,4 +1,8 @@
+#include "directory_generated.h"
+#include "flat_text.hpp"
+
 #include <limpet/base/hash.hpp>
+#include <limpet/directory/packed_text.hpp>
 #include <limpet/directory/text_delta.hpp>
 
 #include <algorithm>
@@ -93,6 +97,46 @@
     return result;
 }
 
+std::string encode(const text_delta& from)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    std::vector<flatbuffers::Offset<fb::piece>> pieces;
+    pieces.reserve(from.pieces.size());
+    for (const delta_piece& each : from.pieces)
+    {
+        pieces.push_back(fb::Createpiece(builder,
+                                         each.begin,
+                                         each.length,
+                                         builder.CreateString(each.added)));
+    }
+    builder.Finish(fb::Createtext_deltaDirect(builder, &pieces, from.digest));
+    return packed_text::pack(bytes_of(builder)).bytes();
+}
+
+outcome<text_delta> decode_delta(std::string_view bytes)
+{
+    const auto unpacked = packed_text(std::string(bytes)).unpack();
+    const auto* from = is_ok(unpacked)
+                           ? read_root<fb::text_delta>(value_of(unpacked))
+                           : nullptr;
+    if (from == nullptr)
+    {
+        return error{error_code::malformed,
+                     "the change of a document cannot be read"};
+    }
+    text_delta delta;
+    delta.digest = from->digest();
+    if (from->pieces() != nullptr)
+    {
+        for (const auto* each : *from->pieces())
+        {
+            delta.pieces.push_back(
+                {each->begin(), each->length(), text_or_empty(each->added())});
+        }
+    }
+    return delta;
+}
+
 outcome<std::string> apply_delta(const text_delta& delta,
                                  std::string_view former)
 {
--- a/libs/directory/src/update.cpp
+++ b/libs/directory/src/update.cpp
@@ -72,14 +72,19 @@
     return out;
 }
 
-intent read_intent(const fb::update& from)
+outcome<intent> read_intent(const fb::update& from)
 {
     intent out;
     out.index = from.intent_index();
     if (from.document() != nullptr)
     {
-        out.document =
-            std::make_shared<const packed_text>(from.document()->str());
+        auto document =
+            stored_document::unpack(packed_text(from.document()->str()));
+        if (!is_ok(document))
+        {
+            return error_of(document);
+        }
+        out.document = std::move(value_of(document));
     }
     if (from.evacuated() != nullptr)
     {
@@ -91,36 +96,6 @@
     return out;
 }
 
-flatbuffers::Offset<fb::document_change>
-write_change(builder_type& builder, const document_change& from)
-{
-    std::vector<flatbuffers::Offset<fb::piece>> pieces;
-    pieces.reserve(from.delta.pieces.size());
-    for (const delta_piece& each : from.delta.pieces)
-    {
-        pieces.push_back(fb::CreatepieceDirect(
-            builder, each.begin, each.length, each.added.c_str()));
-    }
-    return fb::Createdocument_changeDirect(
-        builder, from.base_index, &pieces, from.delta.digest);
-}
-
-document_change read_change(const fb::document_change& from)
-{
-    document_change out;
-    out.base_index = from.base_index();
-    out.delta.digest = from.digest();
-    if (from.pieces() != nullptr)
-    {
-        for (const auto* each : *from.pieces())
-        {
-            out.delta.pieces.push_back(
-                {each->begin(), each->length(), text_or_empty(each->added())});
-        }
-    }
-    return out;
-}
-
 } // namespace
 
 std::string encode(const update& from, time_point now)
@@ -146,14 +121,15 @@
     {
         if (from.orders->document)
         {
-            document = builder.CreateString(from.orders->document->bytes());
+            document =
+                builder.CreateString(from.orders->document->packed().bytes());
         }
         evacuated = write_texts(builder, from.orders->taken_out);
     }
-    flatbuffers::Offset<fb::document_change> change;
+    flatbuffers::Offset<flatbuffers::String> change;
     if (from.change)
     {
-        change = write_change(builder, *from.change);
+        change = builder.CreateString(encode(from.change->delta));
     }
     builder.Finish(fb::Createupdate(builder,
                                     from.subscribes,
@@ -166,7 +142,8 @@
                                     from.routers,
                                     from.is_complete,
                                     row_list,
-                                    change));
+                                    change,
+                                    from.change ? from.change->base_index : 0));
     return bytes_of(builder);
 }
 
@@ -186,11 +163,22 @@
     out.is_complete = from->is_complete();
     if (from->has_intent())
     {
-        out.orders = read_intent(*from);
+        auto orders = read_intent(*from);
+        if (!is_ok(orders))
+        {
+            return error_of(orders);
+        }
+        out.orders = std::move(value_of(orders));
     }
     if (from->change() != nullptr)
     {
-        out.change = read_change(*from->change());
+        auto delta = decode_delta(from->change()->str());
+        if (!is_ok(delta))
+        {
+            return error_of(delta);
+        }
+        out.change =
+            document_change{from->base_index(), std::move(value_of(delta))};
     }
     if (from->replicas() != nullptr)
     {
--- a/libs/directory/test/intent_test.cpp
+++ b/libs/directory/test/intent_test.cpp
@@ -13,7 +13,19 @@
 {
     command order;
     order.version = document_version(version);
-    order.document = packed_text::pack(text);
+    order.document = std::make_shared<const stored_document>(std::string(text));
+    return order;
+}
+
+command change(std::uint64_t version,
+               std::uint64_t base,
+               std::string_view former,
+               std::string_view text)
+{
+    command order;
+    order.version = document_version(version);
+    order.change =
+        change_of_version{document_version(base), make_delta(former, text)};
     return order;
 }
 
@@ -27,7 +39,7 @@
 
 std::string text_of(const intent& state)
 {
-    return value_of(state.document->unpack());
+    return state.document->text();
 }
 
 } // namespace
@@ -37,12 +49,13 @@
 BOOST_AUTO_TEST_CASE(highest_version_stays_in_force)
 {
     intent state;
-    BOOST_TEST(state.apply(1, put(5, "five")));
-    BOOST_TEST(!state.apply(2, put(4, "four")));
-    BOOST_TEST(!state.apply(3, put(5, "other five")));
+    BOOST_TEST((state.apply(1, put(5, "five")) == order_result::changed));
+    BOOST_TEST((state.apply(2, put(4, "four")) == order_result::unchanged));
+    BOOST_TEST(
+        (state.apply(3, put(5, "other five")) == order_result::unchanged));
     BOOST_TEST(text_of(state) == "five");
     BOOST_TEST(state.index == 1U);
-    BOOST_TEST(state.apply(4, put(9, "nine")));
+    BOOST_TEST((state.apply(4, put(9, "nine")) == order_result::changed));
     BOOST_TEST(text_of(state) == "nine");
     BOOST_TEST(state.index == 4U);
 }
@@ -50,19 +63,63 @@
 BOOST_AUTO_TEST_CASE(first_document_may_have_version_zero)
 {
     intent state;
-    BOOST_TEST(state.apply(1, put(0, "zero")));
-    BOOST_TEST(!state.apply(2, put(0, "again")));
+    BOOST_TEST((state.apply(1, put(0, "zero")) == order_result::changed));
+    BOOST_TEST((state.apply(2, put(0, "again")) == order_result::unchanged));
     BOOST_TEST(text_of(state) == "zero");
 }
 
+BOOST_AUTO_TEST_CASE(change_of_the_document_in_force_makes_the_next)
+{
+    intent state;
+    state.apply(1, put(5, "[{1},{2}]"));
+    const auto order =
+        decode_command(encode(change(9, 5, "[{1},{2}]", "[{1},{3},{2}]")));
+    BOOST_REQUIRE(is_ok(order));
+    BOOST_TEST((state.apply(2, value_of(order)) == order_result::changed));
+    BOOST_TEST(text_of(state) == "[{1},{3},{2}]");
+    BOOST_TEST(state.version.get() == 9U);
+    BOOST_TEST(state.index == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(change_of_another_document_is_not_taken)
+{
+    intent state;
+    const command order = change(9, 5, "[{1}]", "[{1},{2}]");
+    BOOST_TEST((state.apply(1, order) == order_result::other_base));
+    state.apply(2, put(6, "[{1}]"));
+    BOOST_TEST((state.apply(3, order) == order_result::other_base));
+    BOOST_TEST(text_of(state) == "[{1}]");
+    BOOST_TEST(state.index == 2U);
+    // A higher version came first: nothing is left to do.
+    state.apply(4, put(10, "ten"));
+    BOOST_TEST((state.apply(5, order) == order_result::unchanged));
+}
+
+BOOST_AUTO_TEST_CASE(change_of_a_large_document_is_a_small_entry)
+{
+    std::string former = "[";
+    for (int i = 0; i < 1000; ++i)
+    {
+        former += R"({"name":")" + std::to_string(i * 7919) + R"("},)";
+    }
+    const std::string text = former + R"({"name":"new"}])";
+    const std::string entry = encode(change(9, 5, former, text));
+    BOOST_TEST(entry.size() < 300U);
+    BOOST_TEST(encode(put(9, text)).size() > 3000U);
+}
+
 BOOST_AUTO_TEST_CASE(repeated_order_for_a_data_centre_changes_nothing)
 {
     intent state;
-    BOOST_TEST(state.apply(1, move(command_kind::take_out, "z")));
-    BOOST_TEST(!state.apply(2, move(command_kind::take_out, "z")));
+    BOOST_TEST((state.apply(1, move(command_kind::take_out, "z")) ==
+                order_result::changed));
+    BOOST_TEST((state.apply(2, move(command_kind::take_out, "z")) ==
+                order_result::unchanged));
     BOOST_TEST(state.taken_out.contains("z"));
-    BOOST_TEST(state.apply(3, move(command_kind::bring_back, "z")));
-    BOOST_TEST(!state.apply(4, move(command_kind::bring_back, "z")));
+    BOOST_TEST((state.apply(3, move(command_kind::bring_back, "z")) ==
+                order_result::changed));
+    BOOST_TEST((state.apply(4, move(command_kind::bring_back, "z")) ==
+                order_result::unchanged));
     BOOST_TEST(state.taken_out.empty());
 }
 
@@ -78,7 +135,7 @@
     BOOST_TEST(value_of(decoded).taken_out.contains("z"));
     const auto order = decode_command(encode(put(6, "six")));
     BOOST_REQUIRE(is_ok(order));
-    BOOST_TEST(value_of(value_of(order).document.unpack()) == "six");
+    BOOST_TEST(value_of(order).document->text() == "six");
 }
 
 BOOST_AUTO_TEST_CASE(damaged_bytes_are_refused)
@@ -87,9 +144,8 @@
     for (std::size_t length = 0; length < whole.size(); ++length)
     {
         const auto cut = decode_command(whole.substr(0, length));
-        BOOST_TEST((!is_ok(cut) || value_of(cut).document.bytes().empty() ||
-                    !is_ok(value_of(cut).document.unpack()) ||
-                    value_of(value_of(cut).document.unpack()) == "six"));
+        BOOST_TEST((!is_ok(cut) || !value_of(cut).document ||
+                    value_of(cut).document->text() == "six"));
     }
     BOOST_TEST(!is_ok(packed_text("no packed text").unpack()));
     BOOST_TEST(!is_ok(packed_text("").unpack()));
--- a/libs/gateway/src/directory_client.cpp
+++ b/libs/gateway/src/directory_client.cpp
@@ -257,7 +257,7 @@
     {
         return directory::apply_delta(news.change->delta, m_orders.document);
     }
-    return news.orders->document ? news.orders->document->unpack()
+    return news.orders->document ? news.orders->document->text()
                                  : std::string();
 }
 
--- a/libs/gateway/test/directory_client_test.cpp
+++ b/libs/gateway/test/directory_client_test.cpp
@@ -130,8 +130,9 @@
         news.orders.emplace();
         news.orders->index = index;
         news.intent_index = index;
-        news.orders->document = std::make_shared<const directory::packed_text>(
-            directory::packed_text::pack(text));
+        news.orders->document =
+            std::make_shared<const directory::stored_document>(
+                std::string(text));
         tell(news);
     }
 
