Large news of the orders are brought to routers by all replicas

What is committed never goes back, so any replica may bring it to a router that has had a state proven by a leader. News that exceed the window of the leader's link are brought by one replica for each router, chosen by rendezvous hash; the leader confirms, and brings them itself after 400 ms. A router that holds nothing keeps what a follower brought and puts it in force when a leader that is sure of its lead has said so.

Tests: order_feed_test (who brings what, leader steps in, proof for a first document), first_orders_of_an_unsure_replica_wait_for_proof.

tests/soak: a fault soak of the real programs, first form.

--- a/libs/control/src/delivery_window.hpp
+++ b/libs/control/src/delivery_window.hpp
@@ -12,7 +12,7 @@
 namespace limpet::control
 {
 
-/// Bounds the bytes of whole documents on their way, so that a replica's link
+/// Bounds the bytes of documents on their way, so that a replica's link
 /// still carries heartbeats in time when all subscribers need one at once.
 /// Takes the time as an argument; not thread-safe.
 class delivery_window
@@ -45,10 +45,11 @@
         m_sent.erase(to);
     }
 
-private:
     /// A link of 6 Mbit/s takes 85 ms for them, well within the time after
     /// which a leader without answers gives up its lead.
     static constexpr std::size_t max_bytes = 64UL * 1024;
+
+private:
     /// A subscriber that does not confirm keeps its part for this long, so
     /// that lost ones do not hold up the others. About twice the time in which
     /// a link of 6 Mbit/s passes on the bytes above.
--- a/libs/control/src/directory_feed.cpp
+++ b/libs/control/src/directory_feed.cpp
@@ -15,6 +15,9 @@
 constexpr duration tell_period = milliseconds(500);
 /// A subscriber unheard of for this long is sent nothing more.
 constexpr duration subscriber_timeout = seconds(3);
+/// A replica unheard of for this long, three of its signs of life, brings no
+/// documents to routers.
+constexpr duration replica_timeout = milliseconds(1500);
 /// Signs of life missed by a backend server before it counts as silent. They
 /// may be late by seconds.
 constexpr int missed_signs = 5;
@@ -31,7 +34,14 @@
     : m_timer(context),
       m_hub(std::move(hub)),
       m_silence_limit(missed_signs * sign_of_life_period),
-      m_callbacks(std::move(callbacks))
+      m_callbacks(std::move(callbacks)),
+      m_orders(m_hub->self().vm,
+               {m_callbacks.orders,
+                m_callbacks.is_sure,
+                [this]
+                {
+                    return replicas_in_touch();
+                }})
 {
 }
 
@@ -114,6 +124,7 @@
     const directory::update& news = value_of(decoded);
     if (!news.is_router)
     {
+        m_replicas_heard[from.vm] = monotonic_clock::now();
         take_rows(news);
         add_contact(from.vm);
         for (const vm_id& each : news.replicas)
@@ -156,18 +167,16 @@
                   "subscriber.found",
                   {{"peer", from.vm.get()}, {"router", news.is_router}});
         known.sent_change = 0;
-        known.orders.forget_sent();
     }
     known.start = from.start;
     known.is_router = news.is_router;
     known.heard_at = now;
-    const bool has_arrived = news.intent_index > known.orders.held();
-    known.orders.confirm(news.intent_index);
+    const bool has_arrived =
+        news.is_router && m_orders.note(from.vm, news, is_new);
     tell(from.vm, known, is_new);
     if (has_arrived)
     {
-        m_window.release(from.vm);
-        // Others may wait for the room.
+        // Others may wait for the room on the link.
         tell_all(false);
     }
 }
@@ -178,19 +187,16 @@
     if (known != m_subscribers.end())
     {
         known->second.sent_change = 0;
-        known->second.orders.forget_sent();
-        m_window.release(peer);
     }
+    m_orders.on_lost(peer);
 }
 
 void directory_feed::tell(const vm_id& peer, subscriber& to, bool is_forced)
 {
     directory::update news;
-    const time_point now = monotonic_clock::now();
-    if (to.is_router && m_callbacks.is_sure() &&
-        to.orders.is_due(m_callbacks.orders().index, now))
+    if (to.is_router)
     {
-        add_orders(news, peer, to, now);
+        m_orders.add_to(news, peer, monotonic_clock::now());
     }
     news.is_complete = to.sent_change == 0;
     to.sent_change =
@@ -207,40 +213,33 @@
     }
 }
 
-/// Adds the orders, the document as a change where the subscriber holds one
-/// that is still known. Whole documents wait until others have arrived.
-void directory_feed::add_orders(directory::update& news,
-                                const vm_id& peer,
-                                subscriber& to,
-                                time_point now)
+std::vector<vm_id> directory_feed::replicas_in_touch() const
 {
-    const directory::intent& orders = m_callbacks.orders();
-    m_documents.add(orders);
-    news.change = m_documents.change_since(to.orders.held());
-    if (!news.change && orders.document)
+    const time_point since = monotonic_clock::now() - replica_timeout;
+    std::vector<vm_id> result = {m_hub->self().vm};
+    for (const auto& [vm, heard_at] : m_replicas_heard)
     {
-        if (!m_window.has_room(now))
+        if (heard_at >= since)
         {
-            return;
+            result.push_back(vm);
         }
-        m_window.note_sent(peer, orders.document->packed().bytes().size(), now);
-    }
-    news.intent_index = orders.index;
-    news.orders = orders;
-    if (news.change)
-    {
-        news.orders->document = nullptr;
     }
-    to.orders.note_sent(orders.index, now);
+    return result;
 }
 
 void directory_feed::tell_all(bool is_forced)
 {
     const time_point now = monotonic_clock::now();
     std::erase_if(m_subscribers,
-                  [now](const auto& each)
+                  [this, now](const auto& each)
                   {
-                      return each.second.heard_at + subscriber_timeout < now;
+                      const bool is_lost =
+                          each.second.heard_at + subscriber_timeout < now;
+                      if (is_lost)
+                      {
+                          m_orders.forget(each.first);
+                      }
+                      return is_lost;
                   });
     for (auto& [peer, each] : m_subscribers)
     {
@@ -251,7 +250,7 @@
 
 void directory_feed::orders_changed()
 {
-    m_documents.add(m_callbacks.orders());
+    m_orders.orders_changed();
     tell_all(false);
 }
 
--- a/libs/control/src/directory_feed.hpp
+++ b/libs/control/src/directory_feed.hpp
@@ -3,9 +3,7 @@
 
 #pragma once
 
-#include "delivery_window.hpp"
-#include "document_history.hpp"
-#include "order_delivery.hpp"
+#include "order_feed.hpp"
 
 #include <limpet/directory/update.hpp>
 #include <limpet/wire/link_hub.hpp>
@@ -80,7 +78,6 @@
         time_point heard_at{};
         /// Number of the last change that was sent, 0 for none.
         std::uint64_t sent_change = 0;
-        order_delivery orders;
     };
 
     void tick();
@@ -92,10 +89,8 @@
     /// nothing.
     void tell(const vm_id& peer, subscriber& to, bool is_forced);
     void tell_all(bool is_forced);
-    void add_orders(directory::update& news,
-                    const vm_id& peer,
-                    subscriber& to,
-                    time_point now);
+    /// Returns the replicas heard of lately, this one included.
+    std::vector<vm_id> replicas_in_touch() const;
     void send_signs_of_life();
     void send(const vm_id& peer, const directory::update& news);
 
@@ -105,8 +100,9 @@
     feed_callbacks m_callbacks;
     directory::registration_table m_table;
     std::map<vm_id, subscriber> m_subscribers;
-    document_history m_documents;
-    delivery_window m_window;
+    order_feed m_orders;
+    /// When each other replica was last heard of.
+    std::map<vm_id, time_point> m_replicas_heard;
     std::vector<vm_id> m_contacts;
     /// Servers that reported here since the last tick.
     std::vector<engine_id> m_reported;
--- a/libs/control/src/document_history.cpp
+++ b/libs/control/src/document_history.cpp
@@ -46,8 +46,8 @@
     if (is_new)
     {
         known->second.base_index = index;
-        known->second.delta = directory::make_delta(
-            former->document->text(), m_versions.back().document->text());
+        known->second.delta = encode(directory::make_delta(
+            former->document->text(), m_versions.back().document->text()));
     }
     return known->second;
 }
--- a/libs/control/src/order_delivery.hpp
+++ b/libs/control/src/order_delivery.hpp
@@ -16,29 +16,52 @@
 class order_delivery
 {
 public:
-    /// Notes the index that the subscriber says it holds.
-    void confirm(std::uint64_t held)
+    /// Notes the indexes of the orders that the subscriber says it has in
+    /// force and whose document it keeps.
+    void confirm(std::uint64_t in_force, std::uint64_t document)
     {
-        m_held = held;
+        m_in_force = in_force;
+        m_document = document;
     }
 
-    /// Returns the index that the subscriber said it holds.
-    std::uint64_t held() const noexcept
+    std::uint64_t in_force() const noexcept
     {
-        return m_held;
+        return m_in_force;
     }
 
-    /// Returns whether to send the state of the index now.
-    bool is_due(std::uint64_t newest, time_point now) const
+    std::uint64_t document() const noexcept
     {
-        const bool is_under_way =
-            m_sent > m_held && now < m_sent_at + confirm_timeout;
-        return newest > m_held && !is_under_way;
+        return m_document;
     }
 
-    void note_sent(std::uint64_t index, time_point now)
+    /// Returns whether a document that was sent may still arrive.
+    bool is_document_under_way(time_point now) const
+    {
+        return m_sent > m_document && now < m_sent_at + confirm_timeout;
+    }
+
+    /// Returns whether word that the orders are the newest may still arrive.
+    bool is_proof_under_way(time_point now) const
+    {
+        return m_proven > m_in_force && now < m_sent_at + confirm_timeout;
+    }
+
+    /// Returns since when the subscriber is known to lack the orders of the
+    /// index.
+    time_point lacks_since(std::uint64_t index, time_point now)
+    {
+        if (m_lacking != index)
+        {
+            m_lacking = index;
+            m_lacks_since = now;
+        }
+        return m_lacks_since;
+    }
+
+    void note_sent(std::uint64_t index, bool is_proof, time_point now)
     {
         m_sent = index;
+        m_proven = is_proof ? index : m_proven;
         m_sent_at = now;
     }
 
@@ -46,6 +69,7 @@
     void forget_sent()
     {
         m_sent = 0;
+        m_proven = 0;
     }
 
 private:
@@ -54,9 +78,13 @@
     /// a busy link, or they would fill it.
     static constexpr duration confirm_timeout = seconds(3);
 
-    std::uint64_t m_held = 0;
+    std::uint64_t m_in_force = 0;
+    std::uint64_t m_document = 0;
     std::uint64_t m_sent = 0;
+    std::uint64_t m_proven = 0;
     time_point m_sent_at{};
+    std::uint64_t m_lacking = 0;
+    time_point m_lacks_since{};
 };
 
 } // namespace limpet::control
--- a/libs/control/test/directory_feed_test.cpp
+++ b/libs/control/test/directory_feed_test.cpp
@@ -134,6 +134,7 @@
         news.subscribes = true;
         news.is_router = true;
         news.intent_index = held;
+        news.document_index = held;
         feed.receive({from, data_centre_id("north"), incarnation(start), ""},
                      encode(news, monotonic_clock::now()));
     }
@@ -206,7 +207,9 @@
     BOOST_REQUIRE(news.change.has_value());
     BOOST_TEST(news.change->base_index == 1U);
     BOOST_TEST((news.orders->document == nullptr));
-    const auto made = directory::apply_delta(news.change->delta, document(1));
+    const auto delta = directory::decode_delta(news.change->delta);
+    BOOST_REQUIRE(is_ok(delta));
+    const auto made = directory::apply_delta(value_of(delta), document(1));
     BOOST_REQUIRE(is_ok(made));
     BOOST_TEST(value_of(made) == document(2));
 }
@@ -234,8 +237,10 @@
     const directory::update& news = hub->sent.back().second;
     BOOST_TEST(news.orders->taken_out.contains("north"));
     BOOST_REQUIRE(news.change.has_value());
-    BOOST_TEST(news.change->delta.pieces.size() == 1U);
-    BOOST_TEST(news.change->delta.pieces[0].added.empty());
+    const auto delta = directory::decode_delta(news.change->delta);
+    BOOST_REQUIRE(is_ok(delta));
+    BOOST_TEST(value_of(delta).pieces.size() == 1U);
+    BOOST_TEST(value_of(delta).pieces[0].added.empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(replica_that_takes_the_lead_sends_changes_as_well,
--- /dev/null
+++ b/libs/control/test/order_feed_test.cpp
@@ -0,0 +1,207 @@
+/// Which replica brings the orders to which router, and when.
+
+#include "order_feed.hpp"
+
+#include <limpet/base/random.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace limpet;
+using namespace limpet::control;
+
+namespace
+{
+
+const time_point start(seconds(100));
+constexpr std::size_t router_count = 40;
+
+/// Two replicas, the first of which leads, and routers that hold nothing.
+struct feeds_routers_found
+{
+    directory::intent orders;
+    std::vector<vm_id> replicas{vm_id("10.0.0.1"), vm_id("10.0.0.2")};
+    std::vector<vm_id> routers;
+    bool first_leads = true;
+    order_feed first{replicas[0], make_source(true)};
+    order_feed second{replicas[1], make_source(false)};
+
+    feeds_routers_found()
+    {
+        for (std::size_t i = 0; i < router_count; ++i)
+        {
+            routers.emplace_back("10.0.1." + std::to_string(i));
+        }
+    }
+
+    order_source make_source(bool is_first)
+    {
+        return {[this]() -> const directory::intent&
+                {
+                    return orders;
+                },
+                [this, is_first]
+                {
+                    return is_first == first_leads;
+                },
+                [this]
+                {
+                    return replicas;
+                }};
+    }
+
+    void put(std::uint64_t version, std::string text)
+    {
+        directory::command order;
+        order.version = directory::document_version(version);
+        order.document =
+            std::make_shared<const directory::stored_document>(std::move(text));
+        orders.apply(version, order);
+        first.orders_changed();
+        second.orders_changed();
+    }
+
+    /// Returns a text that does not shrink when it is packed.
+    static std::string large_text(std::uint64_t seed)
+    {
+        random_source random(seed);
+        std::string text;
+        while (text.size() < 20000)
+        {
+            text += static_cast<char>(random.below(256));
+        }
+        return text;
+    }
+
+    void confirm(const vm_id& router,
+                 std::uint64_t in_force,
+                 std::uint64_t document,
+                 bool is_new = false)
+    {
+        directory::update frame;
+        frame.intent_index = in_force;
+        frame.document_index = document;
+        first.note(router, frame, is_new);
+        second.note(router, frame, is_new);
+    }
+
+    void confirm_all(std::uint64_t in_force,
+                     std::uint64_t document,
+                     bool is_new = false)
+    {
+        for (const vm_id& each : routers)
+        {
+            confirm(each, in_force, document, is_new);
+        }
+    }
+
+    static directory::update
+    sent_by(order_feed& feed, const vm_id& router, time_point now)
+    {
+        directory::update frame;
+        feed.add_to(frame, router, now);
+        return frame;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(shared_out_orders)
+
+BOOST_FIXTURE_TEST_CASE(small_news_come_from_the_leader, feeds_routers_found)
+{
+    put(1, "[{1}]");
+    confirm_all(1, 1, true);
+    put(2, "[{1},{2}]");
+    for (const vm_id& each : routers)
+    {
+        BOOST_TEST(sent_by(first, each, start).orders.has_value());
+        BOOST_TEST(!sent_by(second, each, start).orders.has_value());
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(large_news_come_from_one_replica_for_each_router,
+                        feeds_routers_found)
+{
+    put(1, "[{1}]");
+    confirm_all(1, 1, true);
+    put(2, large_text(2));
+    std::size_t by_first = 0;
+    for (const vm_id& each : routers)
+    {
+        const bool from_first = sent_by(first, each, start).orders.has_value();
+        const bool from_second =
+            sent_by(second, each, start).orders.has_value();
+        BOOST_TEST(from_first != from_second);
+        by_first += from_first ? 1 : 0;
+        // What has arrived makes room on the links.
+        confirm(each, 2, 2);
+    }
+    BOOST_TEST(by_first > router_count / 4);
+    BOOST_TEST(by_first < router_count * 3 / 4);
+}
+
+BOOST_FIXTURE_TEST_CASE(leader_brings_what_does_not_come_in_time,
+                        feeds_routers_found)
+{
+    put(1, "[{1}]");
+    confirm_all(1, 1, true);
+    put(2, large_text(2));
+    for (const vm_id& each : routers)
+    {
+        time_point now = start;
+        while (!sent_by(first, each, now).orders)
+        {
+            now += milliseconds(50);
+            BOOST_REQUIRE((now < start + seconds(1)));
+        }
+        confirm(each, 2, 2);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(first_document_of_a_router_is_proven_by_the_leader,
+                        feeds_routers_found)
+{
+    put(1, large_text(1));
+    confirm_all(0, 0, true);
+    for (const vm_id& each : routers)
+    {
+        const directory::update brought = sent_by(second, each, start);
+        if (!brought.orders)
+        {
+            continue;
+        }
+        BOOST_TEST(!brought.is_sure);
+        BOOST_TEST((brought.orders->document != nullptr));
+        confirm(each, 0, 1);
+        BOOST_TEST(!sent_by(second, each, start).orders.has_value());
+        const directory::update proof = sent_by(first, each, start);
+        BOOST_REQUIRE(proof.orders.has_value());
+        BOOST_TEST(proof.is_sure);
+        BOOST_REQUIRE(proof.change.has_value());
+        BOOST_TEST(proof.change->delta.size() < 200U);
+        BOOST_TEST(!sent_by(first, each, start).orders.has_value());
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(replica_that_takes_the_lead_proves_what_it_brought,
+                        feeds_routers_found)
+{
+    put(1, large_text(1));
+    confirm_all(0, 0, true);
+    for (const vm_id& each : routers)
+    {
+        if (!sent_by(second, each, start).orders)
+        {
+            continue;
+        }
+        first_leads = false;
+        confirm(each, 0, 1);
+        BOOST_TEST(sent_by(second, each, start).is_sure);
+        first_leads = true;
+        confirm(each, 1, 1);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/directory/include/limpet/directory/update.hpp
+++ b/libs/directory/include/limpet/directory/update.hpp
@@ -21,7 +21,8 @@
 struct document_change
 {
     std::uint64_t base_index = 0;
-    text_delta delta;
+    /// An encoded text_delta; one serves for many receivers.
+    std::string delta;
 };
 
 /// What one process tells another. Every part may be missing.
@@ -30,9 +31,15 @@
     /// The sender asks to be told of changes.
     bool subscribes = false;
     bool is_router = false;
-    /// Index of the intent that the sender holds.
+    /// Index of the intent that is in force at the sender.
     std::uint64_t intent_index = 0;
+    /// Index of the intent whose document the sender keeps; the one in force
+    /// or one that is not confirmed yet.
+    std::uint64_t document_index = 0;
     std::optional<intent> orders;
+    /// Whether the sender is sure that no newer orders were acknowledged.
+    /// Others than that are committed as well.
+    bool is_sure = false;
     /// Takes the place of the document of the orders.
     std::optional<document_change> change;
     /// Replicas that the sender knows of.
--- a/libs/directory/src/update.cpp
+++ b/libs/directory/src/update.cpp
@@ -129,7 +129,7 @@
     flatbuffers::Offset<flatbuffers::String> change;
     if (from.change)
     {
-        change = builder.CreateString(encode(from.change->delta));
+        change = builder.CreateString(from.change->delta);
     }
     builder.Finish(fb::Createupdate(builder,
                                     from.subscribes,
@@ -143,7 +143,9 @@
                                     from.is_complete,
                                     row_list,
                                     change,
-                                    from.change ? from.change->base_index : 0));
+                                    from.change ? from.change->base_index : 0,
+                                    from.document_index,
+                                    from.is_sure));
     return bytes_of(builder);
 }
 
@@ -159,6 +161,8 @@
     out.subscribes = from->subscribes();
     out.is_router = from->is_router();
     out.intent_index = from->intent_index();
+    out.document_index = from->document_index();
+    out.is_sure = from->is_sure();
     out.routers = from->routers();
     out.is_complete = from->is_complete();
     if (from->has_intent())
@@ -172,13 +176,7 @@
     }
     if (from->change() != nullptr)
     {
-        auto delta = decode_delta(from->change()->str());
-        if (!is_ok(delta))
-        {
-            return error_of(delta);
-        }
-        out.change =
-            document_change{from->base_index(), std::move(value_of(delta))};
+        out.change = document_change{from->base_index(), from->change()->str()};
     }
     if (from->replicas() != nullptr)
     {
--- a/libs/gateway/src/directory_client.cpp
+++ b/libs/gateway/src/directory_client.cpp
@@ -128,7 +128,8 @@
     directory::update news;
     news.subscribes = true;
     news.is_router = true;
-    news.intent_index = m_wants_whole ? 0 : m_orders.index;
+    news.intent_index = m_in_force;
+    news.document_index = m_wants_whole ? 0 : m_orders.index;
     const status sent = m_hub->send(
         vm, wire::channel::directory, encode(news, monotonic_clock::now()));
     if (!is_ok(sent))
@@ -229,10 +230,24 @@
 
 void directory_client::take_orders(const directory::update& news)
 {
-    if (news.orders->index <= m_orders.index)
+    if (!keep(news))
     {
         return;
     }
+    const bool may_be_in_force = news.is_sure || m_in_force > 0;
+    if (may_be_in_force && m_orders.index > m_in_force)
+    {
+        m_in_force = m_orders.index;
+        m_callbacks.on_orders(m_orders);
+    }
+}
+
+bool directory_client::keep(const directory::update& news)
+{
+    if (news.orders->index <= m_orders.index)
+    {
+        return true;
+    }
     auto document = read_document(news);
     m_wants_whole = !is_ok(document);
     if (m_wants_whole)
@@ -242,12 +257,12 @@
                   {{"index", news.orders->index},
                    {"held", m_orders.index},
                    {"reason", error_of(document).message}});
-        return;
+        return false;
     }
     m_orders = {news.orders->index,
                 std::move(value_of(document)),
                 news.orders->taken_out};
-    m_callbacks.on_orders(m_orders);
+    return true;
 }
 
 outcome<std::string>
@@ -255,7 +270,10 @@
 {
     if (news.change)
     {
-        return directory::apply_delta(news.change->delta, m_orders.document);
+        const auto delta = directory::decode_delta(news.change->delta);
+        return is_ok(delta)
+                   ? directory::apply_delta(value_of(delta), m_orders.document)
+                   : error_of(delta);
     }
     return news.orders->document ? news.orders->document->text()
                                  : std::string();
--- a/libs/gateway/src/directory_client.hpp
+++ b/libs/gateway/src/directory_client.hpp
@@ -19,8 +19,8 @@
 namespace limpet::gateway
 {
 
-/// The operators' orders in force.
-struct orders_in_force
+/// The operators' orders.
+struct fleet_orders
 {
     /// Position in the replicas' log; 0 before the first.
     std::uint64_t index = 0;
@@ -33,7 +33,7 @@
 /// What the gateway does with the news.
 struct directory_callbacks
 {
-    std::function<void(const orders_in_force&)> on_orders;
+    std::function<void(const fleet_orders&)> on_orders;
     std::function<void(const directory::registration&)> on_registration;
     std::function<void(std::uint32_t)> on_routers;
 };
@@ -66,6 +66,9 @@
     void add_replica(const vm_id& vm);
     void receive(const vm_id& from, std::string_view payload);
     void take_orders(const directory::update& news);
+    /// Keeps the orders of the news, if they are newer. Returns whether those
+    /// kept are at least as new as the news.
+    bool keep(const directory::update& news);
     /// Returns the document that the news tell of. Errors: corrupt.
     outcome<std::string> read_document(const directory::update& news) const;
     void tick();
@@ -77,7 +80,11 @@
     std::shared_ptr<wire::link_hub> m_hub;
     std::map<vm_id, replica> m_replicas;
     directory::registration_table m_table;
-    orders_in_force m_orders;
+    /// The newest orders that any replica told. The first ones are in force
+    /// only when a leader has said that they are the newest.
+    fleet_orders m_orders;
+    /// Index of the orders in force.
+    std::uint64_t m_in_force = 0;
     /// Whether the next orders must come whole, as a change did not fit.
     bool m_wants_whole = false;
     bool m_closed = false;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -130,7 +130,7 @@
     status open_directory()
     {
         directory_callbacks callbacks;
-        callbacks.on_orders = [this](const orders_in_force& orders)
+        callbacks.on_orders = [this](const fleet_orders& orders)
         {
             take_orders(orders);
         };
@@ -152,7 +152,7 @@
         return success();
     }
 
-    void take_orders(const orders_in_force& orders)
+    void take_orders(const fleet_orders& orders)
     {
         m_state.pool.set_taken_out(orders.taken_out);
         if (orders.document.empty())
--- a/libs/gateway/test/directory_client_test.cpp
+++ b/libs/gateway/test/directory_client_test.cpp
@@ -33,9 +33,11 @@
 {
     net::io_context context;
     std::uint16_t port = find_port(context);
-    std::vector<orders_in_force> taken;
-    /// Indexes that the client said it holds.
+    std::vector<fleet_orders> taken;
+    /// Indexes of the documents that the client said it keeps.
     std::vector<std::uint64_t> held;
+    /// Whether the replica is sure that what it tells is the newest.
+    bool is_sure = true;
     std::shared_ptr<wire::link_hub> replica = open_replica();
     std::unique_ptr<directory_client> client = open_client();
 
@@ -73,7 +75,7 @@
             const auto news =
                 directory::decode_update(payload, monotonic_clock::now());
             BOOST_REQUIRE(is_ok(news));
-            held.push_back(value_of(news).intent_index);
+            held.push_back(value_of(news).document_index);
         };
         handlers.on_lost = [](const vm_id&) {};
         const wire::link_identity identity{replica_vm,
@@ -95,7 +97,7 @@
         settings.peers = at(router_vm);
         settings.seeds = {at(replica_vm)};
         directory_callbacks callbacks;
-        callbacks.on_orders = [this](const orders_in_force& orders)
+        callbacks.on_orders = [this](const fleet_orders& orders)
         {
             taken.push_back(orders);
         };
@@ -128,8 +130,8 @@
     {
         directory::update news;
         news.orders.emplace();
-        news.orders->index = index;
         news.intent_index = index;
+        news.is_sure = is_sure;
         news.orders->document =
             std::make_shared<const directory::stored_document>(
                 std::string(text));
@@ -144,8 +146,9 @@
         directory::update news;
         news.orders.emplace();
         news.intent_index = index;
+        news.is_sure = is_sure;
         news.change = directory::document_change{
-            base, directory::make_delta(former, text)};
+            base, encode(directory::make_delta(former, text))};
         tell(news);
     }
 
@@ -208,4 +211,43 @@
     BOOST_TEST(taken.back().document == "[{8},{9},{3}]");
 }
 
+BOOST_FIXTURE_TEST_CASE(first_orders_of_an_unsure_replica_wait_for_proof,
+                        client_replica_found)
+{
+    is_sure = false;
+    tell_whole(3, "[{1}]");
+    wait_until_held(3);
+    BOOST_TEST(taken.empty());
+    is_sure = true;
+    tell_change(3, 3, "[{1}]", "[{1}]");
+    tell_change(4, 3, "[{1}]", "[{1},{2}]");
+    wait_until_held(4);
+    BOOST_REQUIRE(taken.size() == 2U);
+    BOOST_TEST(taken[0].document == "[{1}]");
+}
+
+BOOST_FIXTURE_TEST_CASE(older_proof_puts_newer_orders_in_force,
+                        client_replica_found)
+{
+    is_sure = false;
+    tell_whole(5, "[{5}]");
+    wait_until_held(5);
+    is_sure = true;
+    tell_whole(3, "[{3}]");
+    tell_whole(6, "[{6}]");
+    wait_until_held(6);
+    BOOST_REQUIRE(taken.size() == 2U);
+    BOOST_TEST(taken[0].document == "[{5}]");
+}
+
+BOOST_FIXTURE_TEST_CASE(later_orders_of_any_replica_are_in_force,
+                        client_replica_found)
+{
+    tell_whole(3, "[{1}]");
+    is_sure = false;
+    tell_change(4, 3, "[{1}]", "[{1},{2}]");
+    wait_until_held(4);
+    BOOST_TEST(taken.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/soak/servers.py
@@ -0,0 +1,170 @@
+"""Backend servers that run requests and register with the replicas."""
+
+import asyncio
+import itertools
+import random
+import time
+
+import platform_peer as peer
+import transport
+
+HEARTBEAT_S = 0.4
+EVENT_GAP_S = 0.03
+
+
+class Server:
+    """One start of a backend server. All of what it runs is on record."""
+
+    numbers = itertools.count(1)
+
+    def __init__(self, world, place, service, data_centre, seed):
+        self.world = world
+        self.place = place  # (listen, address that it registers)
+        self.service = service
+        self.data_centre = data_centre
+        self.random = random.Random(seed)
+        self.name = f"server-{next(Server.numbers)}"
+        self.born_ms = int(time.time() * 1000)
+        self.sequence = 0
+        self.state = "ready"
+        self.failing = 0.0
+        self.shedding = 0.0
+        self.active = 0
+        self.writers = set()
+        self.drain_acked_at = None
+        self.listener = None
+        self.beats = None
+
+    async def start(self):
+        self.listener = await asyncio.start_server(
+            self._serve, *self.place[0])
+        self.beats = asyncio.create_task(self._beat())
+        self.world.record.note(f"{self.name} of {self.service} starts at "
+                               f"{self.place[1][0]}")
+
+    async def crash(self):
+        """Ends at once; says nothing to anybody."""
+        self.world.record.note(f"{self.name} crashes")
+        self.beats.cancel()
+        self.listener.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def leave(self, drain_s):
+        """Reports that it drains, waits, says that it leaves, and ends."""
+        self.state = "draining"
+        self.world.record.note(f"{self.name} drains")
+        if await self._report():
+            self.drain_acked_at = self.world.record.now()
+        await asyncio.sleep(drain_s)
+        try:
+            await self.world.control_call(
+                "DELETE", peer.registration_path(self.name), "")
+        except transport.Broken:
+            pass
+        await asyncio.sleep(0.5)
+        await self.crash()
+
+    async def _report(self):
+        self.sequence += 1
+        address = "%s:%d" % self.place[1]
+        try:
+            status = await self.world.control_call(
+                "PUT", peer.registration_path(self.name),
+                peer.registration(self.service, address, self.data_centre,
+                                  self.state, self.sequence, self.born_ms))
+        except transport.Broken:
+            return False
+        return 200 <= status[0] < 300
+
+    async def _beat(self):
+        while True:
+            await self._report()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def _serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                first, headers = await transport.read_head(reader)
+                body = await transport.read_body(reader, headers)
+                method, path, _ = first.split(" ", 2)
+                await self._answer(writer, method, path, headers, body)
+        except (transport.Broken, ConnectionError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _send(self, writer, status, headers, body):
+        headers = {**headers, "Content-Length": len(body)}
+        writer.write(
+            transport.head_text(f"HTTP/1.1 {status} x", headers) + body)
+        await writer.drain()
+
+    async def _answer(self, writer, method, path, headers, body):
+        message = peer.read_request(headers)
+        request = message["request"]
+        if message["expected_server"] not in (None, self.name):
+            await self._send(writer, 421, peer.not_run_headers(request), b"")
+            return
+        if self.random.random() < self.shedding:
+            await self._send(writer, 503, peer.not_run_headers(request), b"")
+            return
+        self._check_drain(request)
+        self.world.record.run(self.name, self.service, message, method, path,
+                              body)
+        sent = self.world.record.sent.get(request, {})
+        seal = f"{self.name}.{request}.{self.random.randrange(1 << 30)}"
+        answer = peer.answer_headers(request, seal, self.active)
+        self.active += 1
+        try:
+            if self.random.random() < self.failing:
+                await self._fail(writer, request, seal, answer)
+            elif sent.get("events"):
+                await self._stream(writer, request, seal, answer,
+                                   message["last_event"], sent["events"])
+            else:
+                await asyncio.sleep(self.random.uniform(0.005, 0.06))
+                text = f"{request} by {self.name}".encode() * 20
+                self._seal(seal, request, 200, text)
+                await self._send(writer, 200, answer, text)
+        finally:
+            self.active -= 1
+
+    def _seal(self, seal, request, status, body):
+        self.world.record.seals[seal] = {
+            "request": request, "status": status, "body": body}
+
+    async def _fail(self, writer, request, seal, answer):
+        if self.random.random() < 0.5:
+            self._seal(seal, request, 500, b"failed")
+            await self._send(writer, 500, answer, b"failed")
+        else:
+            writer.transport.abort()
+            raise transport.Broken("aborted on purpose")
+
+    async def _stream(self, writer, request, seal, answer, last, count):
+        self._seal(seal, request, 200, None)
+        head = {**answer, "Content-Type": "text/event-stream",
+                "Transfer-Encoding": "chunked"}
+        writer.write(transport.head_text("HTTP/1.1 200 OK", head))
+        for number in range(last + 1, count + 1):
+            await asyncio.sleep(EVENT_GAP_S)
+            event = f"id: {number}\ndata: {request}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    def _check_drain(self, request):
+        bound = self.world.bounds["drain_s"]
+        if self.drain_acked_at is None:
+            return
+        late = self.world.record.now() - self.drain_acked_at - bound
+        sent = self.world.record.sent.get(request)
+        router = sent["router"] if sent else ""
+        if late > 0 and self.world.is_in_touch(router):
+            self.world.record.fail(
+                "DRAIN", f"{self.name} gets it {late:.2f} s too late from "
+                f"{router}", request)
