Any replica answers reads of the document

A follower now asks the leader for the index of the newest acknowledged entry, waits until it has applied that, and answers itself; without an answer in 0.8 s it says that it cannot be sure. Tests: control_group_test, three replicas over loopback links (the followers' reads failed before), documents sent at once.

--- a/libs/control/include/limpet/control/fleet_orders.hpp
+++ b/libs/control/include/limpet/control/fleet_orders.hpp
@@ -31,8 +31,9 @@
     /// is unknown.
     virtual boost::asio::awaitable<status> submit(directory::command order) = 0;
 
-    /// Returns the newest document, null before the first. Errors: not_leader
-    /// or unavailable if this replica cannot be sure of it.
+    /// Returns the newest document, null before the first; a replica that
+    /// follows asks the leader which one that is. Errors: not_leader or
+    /// unavailable if this replica cannot be sure of it.
     virtual boost::asio::awaitable<
         outcome<std::shared_ptr<const directory::stored_document>>>
     read_document() = 0;
--- a/libs/control/src/claims_service.cpp
+++ b/libs/control/src/claims_service.cpp
@@ -3,8 +3,6 @@
 #include "control_state.hpp"
 #include "wall_clock.hpp"
 
-#include <limpet/base/log.hpp>
-
 namespace limpet::control
 {
 
@@ -15,26 +13,18 @@
 {
 }
 
-void claims_service::receive(const vm_id& from, std::string_view payload)
+void claims_service::receive(const vm_id& from, const wire::call& claim)
 {
-    const auto message = wire::decode_call_message(payload);
-    const auto* call =
-        is_ok(message) ? std::get_if<wire::call>(&value_of(message)) : nullptr;
-    if (call == nullptr)
-    {
-        log_event(log_level::warn, "frame.malformed", {{"peer", from.get()}});
-        return;
-    }
-    auto command = claims::decode_command(call->payload);
+    auto command = claims::decode_command(claim.payload);
     if (!is_ok(command))
     {
-        reply(from, call->id, error_of(command));
+        reply(from, claim.id, error_of(command));
         return;
     }
     value_of(command).at_ms = unix_ms();
     m_log.propose(
         make_entry(value_of(command)),
-        [this, from, id = call->id](outcome<replica::proposal_result> result)
+        [this, from, id = claim.id](outcome<replica::proposal_result> result)
         {
             if (is_ok(result))
             {
--- a/libs/control/src/claims_service.hpp
+++ b/libs/control/src/claims_service.hpp
@@ -8,7 +8,6 @@
 #include <limpet/wire/link_hub.hpp>
 
 #include <memory>
-#include <string_view>
 
 namespace limpet::control
 {
@@ -21,8 +20,7 @@
     /// The replica must outlive the service.
     claims_service(replica::replica& log, std::shared_ptr<wire::link_hub> hub);
 
-    /// Takes a frame of the control channel.
-    void receive(const vm_id& from, std::string_view payload);
+    void receive(const vm_id& from, const wire::call& claim);
 
 private:
     void reply(const vm_id& to, std::uint64_t id, outcome<std::string> result);
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -3,6 +3,7 @@
 #include "config_source.hpp"
 #include "control_state.hpp"
 #include "directory_feed.hpp"
+#include "follower_reads.hpp"
 #include "operator_service.hpp"
 #include "wall_clock.hpp"
 
@@ -72,6 +73,8 @@
         }
         m_source = std::make_unique<config_source>(m_state, m_hub);
         m_claims = std::make_unique<claims_service>(*m_replica, m_hub);
+        m_reads =
+            std::make_unique<follower_reads>(m_context, *m_replica, m_hub);
         m_operators = std::make_unique<operator_service>(
             m_state, *m_source, *m_replica, *m_hub);
         opened = open_server();
@@ -343,7 +346,12 @@
         const status known = co_await await_callback<status>(
             [this](std::function<void(status)> call)
             {
-                m_replica->read_barrier(std::move(call));
+                if (is_leader())
+                {
+                    m_replica->read_barrier(std::move(call));
+                    return;
+                }
+                m_reads->barrier(std::move(call));
             });
         if (!is_ok(known))
         {
@@ -465,7 +473,33 @@
         }
         else if (kind == wire::channel::control)
         {
-            m_claims->receive(from.vm, payload);
+            take_call(from.vm, payload);
+        }
+    }
+
+    void take_call(const vm_id& from, std::string_view payload)
+    {
+        const auto message = wire::decode_call_message(payload);
+        if (!is_ok(message))
+        {
+            log_event(
+                log_level::warn, "frame.malformed", {{"peer", from.get()}});
+            return;
+        }
+        if (const auto* answer = std::get_if<wire::reply>(&value_of(message)))
+        {
+            m_reads->receive(*answer);
+            return;
+        }
+        const auto& call = std::get<wire::call>(value_of(message));
+        switch (call.kind)
+        {
+        case wire::call_kind::claim:
+            m_claims->receive(from, call);
+            return;
+        case wire::call_kind::newest_index:
+            m_reads->receive(from, call);
+            return;
         }
     }
 
@@ -483,6 +517,7 @@
                       {
                           m_is_feed_due = false;
                           m_feed->orders_changed();
+                          m_reads->applied(m_replica->view().applied.get());
                       });
         }
     }
@@ -515,6 +550,7 @@
     std::unique_ptr<config_source> m_source;
     std::unique_ptr<directory_feed> m_feed;
     std::unique_ptr<claims_service> m_claims;
+    std::unique_ptr<follower_reads> m_reads;
     std::unique_ptr<operator_service> m_operators;
     std::unique_ptr<http::server> m_server;
     bool m_draining = false;
--- /dev/null
+++ b/libs/control/src/follower_reads.cpp
@@ -0,0 +1,146 @@
+#include "follower_reads.hpp"
+
+#include <limpet/base/log.hpp>
+
+#include <charconv>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace limpet::control
+{
+
+namespace
+{
+
+/// Longest wait for the leader's answer and the entries. Those who ask turn to
+/// another replica after a second.
+constexpr duration read_timeout = milliseconds(800);
+
+error unavailable(std::string reason)
+{
+    return {error_code::unavailable, std::move(reason)};
+}
+
+} // namespace
+
+follower_reads::follower_reads(boost::asio::io_context& context,
+                               replica::replica& log,
+                               std::shared_ptr<wire::link_hub> hub)
+    : m_context(context),
+      m_log(log),
+      m_hub(std::move(hub))
+{
+}
+
+void follower_reads::barrier(callback call)
+{
+    const auto leader = m_log.view().leader;
+    if (!leader)
+    {
+        call(unavailable("there is no leader"));
+        return;
+    }
+    const std::uint64_t id = ++m_last_id;
+    pending& made = m_pending[id];
+    made.call = std::move(call);
+    made.limit = std::make_unique<boost::asio::steady_timer>(m_context);
+    made.limit->expires_after(read_timeout);
+    made.limit->async_wait(
+        [this, id](boost::system::error_code cancelled)
+        {
+            if (!cancelled)
+            {
+                finish(id, unavailable("the leader did not answer in time"));
+            }
+        });
+    const status sent =
+        m_hub->send(leader->vm,
+                    wire::channel::control,
+                    wire::encode(wire::call_message(
+                        wire::call{id, wire::call_kind::newest_index, {}})));
+    if (!is_ok(sent))
+    {
+        finish(id, sent);
+    }
+}
+
+void follower_reads::receive(const vm_id& from, const wire::call& question)
+{
+    m_log.read_barrier(
+        [this, from, id = question.id](const status& known)
+        {
+            wire::reply answer;
+            answer.id = id;
+            answer.result =
+                is_ok(known) ? outcome<std::string>(
+                                   std::to_string(m_log.view().applied.get()))
+                             : outcome<std::string>(error_of(known));
+            const status sent =
+                m_hub->send(from,
+                            wire::channel::control,
+                            wire::encode(wire::call_message(answer)));
+            if (!is_ok(sent))
+            {
+                log_event(
+                    log_level::warn,
+                    "read.answer_lost",
+                    {{"peer", from.get()}, {"reason", error_of(sent).message}});
+            }
+        });
+}
+
+void follower_reads::receive(const wire::reply& answer)
+{
+    const auto found = m_pending.find(answer.id);
+    if (found == m_pending.end())
+    {
+        return;
+    }
+    if (!is_ok(answer.result))
+    {
+        finish(answer.id, unavailable(error_of(answer.result).message));
+        return;
+    }
+    const std::string& text = value_of(answer.result);
+    std::uint64_t index = 0;
+    const auto read =
+        std::from_chars(text.data(), text.data() + text.size(), index);
+    if (read.ec != std::errc{})
+    {
+        finish(answer.id, unavailable("the leader's answer is malformed"));
+        return;
+    }
+    found->second.index = index;
+    applied(m_log.view().applied.get());
+}
+
+void follower_reads::applied(std::uint64_t index)
+{
+    std::vector<std::uint64_t> done;
+    for (const auto& [id, each] : m_pending)
+    {
+        if (each.index && *each.index <= index)
+        {
+            done.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : done)
+    {
+        finish(id, success());
+    }
+}
+
+void follower_reads::finish(std::uint64_t id, status result)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end())
+    {
+        return;
+    }
+    const pending ended = std::move(found->second);
+    m_pending.erase(found);
+    ended.call(std::move(result));
+}
+
+} // namespace limpet::control
--- /dev/null
+++ b/libs/control/test/control_group_test.cpp
@@ -0,0 +1,243 @@
+/// Three replicas that found each other from seeds, over loopback links.
+
+#include <limpet/control/control_server.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <array>
+#include <filesystem>
+#include <stdlib.h>
+
+using namespace limpet;
+using namespace limpet::control;
+
+namespace
+{
+
+namespace net = boost::asio;
+
+constexpr std::size_t replica_count = 3;
+
+std::uint16_t find_port(net::io_context& context)
+{
+    const net::ip::tcp::endpoint any(net::ip::make_address("127.0.4.1"), 0);
+    net::ip::tcp::acceptor probe(context, any);
+    return probe.local_endpoint().port();
+}
+
+struct group_seeds_started
+{
+    net::io_context context;
+    std::string folder = make_folder();
+    std::uint16_t peers_port = find_port(context);
+    std::uint16_t operators_port = find_port(context);
+    std::array<fleet_orders*, replica_count> orders{};
+    std::vector<std::unique_ptr<control_server>> servers;
+
+    group_seeds_started()
+    {
+        for (std::size_t i = 0; i < replica_count; ++i)
+        {
+            start(i);
+        }
+        run_until(
+            [this]
+            {
+                return std::all_of(orders.begin(),
+                                   orders.end(),
+                                   [](const fleet_orders* each)
+                                   {
+                                       return each->is_leader() ||
+                                              each->leader();
+                                   });
+            });
+    }
+
+    ~group_seeds_started()
+    {
+        for (const auto& each : servers)
+        {
+            each->close();
+        }
+        context.poll();
+        servers.clear();
+        std::filesystem::remove_all(folder);
+    }
+
+    group_seeds_started(const group_seeds_started&) = delete;
+    group_seeds_started& operator=(const group_seeds_started&) = delete;
+
+    static std::string make_folder()
+    {
+        std::string path =
+            (std::filesystem::temp_directory_path() / "limpet-XXXXXX").string();
+        BOOST_REQUIRE(::mkdtemp(path.data()) != nullptr);
+        return path;
+    }
+
+    static std::string ip_of(std::size_t number)
+    {
+        return "127.0.4." + std::to_string(number + 1);
+    }
+
+    void start(std::size_t number)
+    {
+        control_settings settings;
+        settings.vm = vm_id(ip_of(number));
+        settings.data_centre = data_centre_id("north");
+        settings.operators = {net::ip::make_address(ip_of(number)),
+                              operators_port};
+        settings.peers = {net::ip::make_address(ip_of(number)), peers_port};
+        settings.data_folder = folder + "/" + ip_of(number);
+        std::filesystem::create_directory(settings.data_folder);
+        settings.found_by.emplace();
+        settings.found_by->first_start = true;
+        for (std::size_t i = 0; i < replica_count; ++i)
+        {
+            settings.found_by->seeds.emplace_back(
+                net::ip::make_address(ip_of(i)), operators_port);
+        }
+        auto made = control_server::create(
+            context,
+            settings,
+            []
+            {
+                BOOST_FAIL("the storage failed");
+            },
+            [this, number](fleet_orders& replica)
+            {
+                orders[number] = &replica;
+                return [](http::exchange&) -> net::awaitable<void>
+                {
+                    co_return;
+                };
+            });
+        BOOST_REQUIRE(is_ok(made));
+        servers.push_back(value_of(std::move(made)));
+    }
+
+    fleet_orders* find_leader() const
+    {
+        for (fleet_orders* each : orders)
+        {
+            if (each != nullptr && each->is_leader())
+            {
+                return each;
+            }
+        }
+        return nullptr;
+    }
+
+    template <class Condition>
+    void run_until(Condition is_reached)
+    {
+        while (!is_reached())
+        {
+            context.run_one();
+        }
+    }
+
+    template <class T>
+    T wait(net::awaitable<T> work)
+    {
+        std::optional<T> result;
+        net::co_spawn(context,
+                      std::move(work),
+                      [&result](const std::exception_ptr& failure, T value)
+                      {
+                          BOOST_REQUIRE(!failure);
+                          result = std::move(value);
+                      });
+        run_until(
+            [&result]
+            {
+                return result.has_value();
+            });
+        return std::move(*result);
+    }
+
+    void put(std::uint64_t version, std::string text)
+    {
+        directory::command order;
+        order.version = directory::document_version(version);
+        order.document =
+            std::make_shared<const directory::stored_document>(std::move(text));
+        status done = error{error_code::unavailable, "not tried"};
+        while (!is_ok(done))
+        {
+            run_until(
+                [this]
+                {
+                    return find_leader() != nullptr;
+                });
+            done = wait(find_leader()->submit(order));
+        }
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(control_groups)
+
+BOOST_FIXTURE_TEST_CASE(every_replica_reads_what_was_just_acknowledged,
+                        group_seeds_started)
+{
+    std::string text = "[";
+    for (std::uint64_t version = 1; version <= 20; ++version)
+    {
+        text += "{" + std::to_string(version) + "},";
+        put(version, text);
+        for (fleet_orders* each : orders)
+        {
+            const auto document = wait(each->read_document());
+            // A replica may be without a leader for a moment.
+            if (is_ok(document))
+            {
+                BOOST_REQUIRE(value_of(document));
+                BOOST_TEST(value_of(document)->text() == text);
+            }
+        }
+    }
+    std::size_t answered = 0;
+    for (fleet_orders* each : orders)
+    {
+        answered += is_ok(wait(each->read_document())) ? 1 : 0;
+    }
+    BOOST_TEST(answered == replica_count);
+}
+
+BOOST_FIXTURE_TEST_CASE(documents_sent_at_once_leave_the_highest_version,
+                        group_seeds_started)
+{
+    put(1, "[{1}]");
+    fleet_orders* const leader = find_leader();
+    std::size_t ended = 0;
+    for (std::uint64_t version = 2; version <= 8; ++version)
+    {
+        directory::command order;
+        order.version = directory::document_version(version);
+        order.document = std::make_shared<const directory::stored_document>(
+            "[{1},{" + std::to_string(version) + "}]");
+        net::co_spawn(context,
+                      leader->submit(std::move(order)),
+                      [&ended](const std::exception_ptr& failure, status done)
+                      {
+                          BOOST_TEST(!failure);
+                          BOOST_TEST(is_ok(done));
+                          ++ended;
+                      });
+    }
+    run_until(
+        [&ended]
+        {
+            return ended == 7;
+        });
+    const auto document = wait(leader->read_document());
+    BOOST_REQUIRE(is_ok(document));
+    BOOST_TEST(value_of(document)->text() == "[{1},{8}]");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/wire/include/limpet/wire/call_message.hpp
+++ b/libs/wire/include/limpet/wire/call_message.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// Calls from routers to control replicas and their replies.
+/// Calls to control replicas and their replies.
 
 #pragma once
 
@@ -17,7 +17,8 @@
 /// What a call asks for; decides the form of its payload.
 enum class call_kind : std::uint8_t
 {
-    claim ///< A claims command, answered by a claims answer.
+    claim,        ///< A claims command, answered by a claims answer.
+    newest_index, ///< Answered by the index of the newest acknowledged entry.
 };
 
 /// A call. The caller may send it again under the same id.
