A group whose machines were all lost elects a leader without waiting

Found beside it: the clock of leases stood still while a machine is suspended, so that a leader that woke up would have taken its lease for valid.

A replica that has known no leader since its start asks the voters whether they have; if all of them have not, each since 150 ms or more and with logs no longer than its own, it is elected with their word in place of the promise. Why that cannot meet a valid lease is said at is_proven_leaderless. The clock is now the one that runs on during suspension.

Tests: group_restarted_at_once_does_not_wait_for_promises (failed before), replica_that_knew_a_leader_keeps_its_promise; the interleavings restart all replicas, or all but one, at random; units_test.

--- a/libs/base/include/limpet/base/units.hpp
+++ b/libs/base/include/limpet/base/units.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace limpet
 {
@@ -22,8 +23,8 @@
 using std::chrono::nanoseconds;
 using std::chrono::seconds;
 
-/// Monotonic clock of the decision code. The daemons map the system's steady
-/// clock to it; tests and benchmarks set it by hand.
+/// Monotonic clock of the decision code. The daemons map the system's time
+/// since boot to it; tests and benchmarks set it by hand.
 struct monotonic_clock
 {
     using duration = std::chrono::nanoseconds;
@@ -32,8 +33,12 @@
     using time_point = std::chrono::time_point<monotonic_clock>;
     static constexpr bool is_steady = true;
 
-    /// Returns the system's steady time. Not for decision code, which takes
-    /// the time as an argument.
+    /// The system's clock that also runs while the machine is suspended, as
+    /// leases of other machines run out then.
+    static constexpr clockid_t source = CLOCK_BOOTTIME;
+
+    /// Returns the system's time. Not for decision code, which takes the time
+    /// as an argument.
     static time_point now() noexcept;
 };
 
--- a/libs/consensus/include/limpet/consensus/message.hpp
+++ b/libs/consensus/include/limpet/consensus/message.hpp
@@ -28,12 +28,17 @@
     bool is_handover = false;
     log_index last;
     term_number last_term;
+    /// The receiver's own leaderless_start, once all voters gave theirs.
+    std::uint64_t leaderless_start = 0;
 };
 
 struct vote_answer
 {
     bool is_trial = false;
     bool granted = false;
+    /// Number of this start of the replica, if it has neither led nor followed
+    /// a leader since and its log is no longer than the asking one; or else 0.
+    std::uint64_t leaderless_start = 0;
 };
 
 /// Sends entries that follow the previous one; without entries a heartbeat.
--- a/libs/consensus/include/limpet/consensus/settings.hpp
+++ b/libs/consensus/include/limpet/consensus/settings.hpp
@@ -19,6 +19,10 @@
     /// A replica that heard from a leader grants no vote for this long. A
     /// replica starts an election after one to two times this long.
     duration election_timeout = milliseconds(1500);
+    /// Replicas that all started this long ago and have known no leader since
+    /// elect one without waiting for the promises of before to run out. Twice
+    /// the time that a question to all and their answers may take.
+    duration leaderless_window = milliseconds(150);
     /// Highest rate by which a clock may run fast or slow, as a part of 1.
     double clock_drift = 0.01;
     /// Most bytes of entries in one message; at least one entry is sent.
--- a/libs/consensus/interleavings/interleavings_test.cpp
+++ b/libs/consensus/interleavings/interleavings_test.cpp
@@ -86,6 +86,8 @@
         result.consensus.heartbeat_interval = milliseconds(60);
         result.consensus.election_timeout = milliseconds(300);
         result.consensus.clock_drift = clock_drift;
+        result.consensus.leaderless_window =
+            milliseconds(20 + m_random.below(150));
         result.consensus.trailing_entries = m_random.below(8);
         result.consensus.snapshot_chunk_bytes = 48;
         result.consensus.window_entries = 1 + m_random.below(16);
@@ -211,11 +213,15 @@
     void break_process()
     {
         const std::size_t vm = any_vm();
-        switch (m_random.below(5))
+        switch (m_random.below(6))
         {
         case 0:
             m_group.restart(vm);
             break;
+        case 5:
+            // Nobody knows a leader then; all but one in half of the cases.
+            restart_all(m_random.chance(0.5) ? vm : m_group.size());
+            break;
         case 1:
             m_group.disk(vm).faults().crash_after = m_random.below(20);
             break;
@@ -233,6 +239,17 @@
         }
     }
 
+    void restart_all(std::size_t except)
+    {
+        for (std::size_t vm = 0; vm < m_group.size(); ++vm)
+        {
+            if (vm != except)
+            {
+                m_group.restart(vm);
+            }
+        }
+    }
+
     /// Whether every VM knows all present replicas as the voters.
     bool is_settled() const
     {
--- a/libs/consensus/src/message_codec.cpp
+++ b/libs/consensus/src/message_codec.cpp
@@ -78,14 +78,15 @@
                                                   body.is_trial,
                                                   body.is_handover,
                                                   body.last.get(),
-                                                  body.last_term.get());
+                                                  body.last_term.get(),
+                                                  body.leaderless_start);
         return {fb::Body::VoteRequest, offset.Union()};
     }
 
     encoded_body operator()(const vote_answer& body) const
     {
-        const auto offset =
-            fb::CreateVoteAnswer(out, body.is_trial, body.granted);
+        const auto offset = fb::CreateVoteAnswer(
+            out, body.is_trial, body.granted, body.leaderless_start);
         return {fb::Body::VoteAnswer, offset.Union()};
     }
 
@@ -159,6 +160,7 @@
     result.is_handover = body.is_handover();
     result.last = log_index{body.last()};
     result.last_term = term_number{body.last_term()};
+    result.leaderless_start = body.leaderless_start();
     return result;
 }
 
@@ -230,7 +232,8 @@
         return get_body(*source.body_as_VoteRequest());
     case fb::Body::VoteAnswer:
         return vote_answer{source.body_as_VoteAnswer()->is_trial(),
-                           source.body_as_VoteAnswer()->granted()};
+                           source.body_as_VoteAnswer()->granted(),
+                           source.body_as_VoteAnswer()->leaderless_start()};
     case fb::Body::AppendRequest:
         return to_body(get_body(*source.body_as_AppendRequest()));
     case fb::Body::AppendAnswer:
--- a/libs/consensus/src/node.cpp
+++ b/libs/consensus/src/node.cpp
@@ -121,6 +121,9 @@
         m_heard_leader = now;
     }
     reset_election_deadline();
+    m_start_number = m_random.next() | 1U;
+    m_started_at = now;
+    put_off_leaderless_question();
 }
 
 actions node::impl::step(time_point now, event what)
@@ -174,6 +177,11 @@
     {
         start_trial();
     }
+    else if (m_now >= m_next_leaderless_question && is_leaderless() &&
+             may_campaign())
+    {
+        ask_whether_leaderless();
+    }
 }
 
 void node::impl::operator()(message_received& what)
@@ -202,12 +210,14 @@
     const auto* vote = std::get_if<vote_request>(&content.body);
     const auto* answer = std::get_if<vote_answer>(&content.body);
     const bool is_trial = (vote && vote->is_trial) ||
-                          (answer && answer->is_trial && answer->granted);
+                          (answer && answer->is_trial &&
+                           (answer->granted || answer->leaderless_start != 0));
     if (is_trial || std::holds_alternative<join_request>(content.body))
     {
         return true;
     }
-    if (vote && !vote->is_handover && is_promised_to_leader())
+    if (vote && !vote->is_handover && !is_proven_leaderless(*vote) &&
+        is_promised_to_leader())
     {
         return false;
     }
--- a/libs/consensus/src/node_election.cpp
+++ b/libs/consensus/src/node_election.cpp
@@ -1,5 +1,7 @@
 #include "node_impl.hpp"
 
+#include <utility>
+
 namespace limpet::consensus
 {
 
@@ -61,6 +63,12 @@
     m_leader.reset();
     m_votes.clear();
     reset_election_deadline();
+    ask_for_trial_votes();
+    count_vote(m_self);
+}
+
+void node::impl::ask_for_trial_votes()
+{
     const term_number next{m_hard.term.get() + 1};
     for (const auto& [id, role] : members().members())
     {
@@ -74,10 +82,69 @@
         request.last_term = m_log.last_term();
         m_held_back.push_back({m_self, id, next, request});
     }
-    count_vote(m_self);
 }
 
-void node::impl::start_election(bool is_handover)
+/// Whether this replica has neither led nor followed since it started, a while
+/// ago. Promises that it made to a leader are older than that.
+bool node::impl::is_leaderless() const
+{
+    return m_role != node_role::leader && !m_has_known_leader &&
+           m_hard.term != term_number{} &&
+           m_now >= m_started_at + m_settings.leaderless_window;
+}
+
+/// Whether the candidate heard from all voters that they are leaderless, this
+/// start of this replica among them.
+///
+/// A lease rests on acknowledgements by a majority. One of these voters would
+/// have given its acknowledgement before it started, and so before the
+/// candidate asked; but the leader of that time has answered since that it
+/// leads no more.
+bool node::impl::is_proven_leaderless(const vote_request& request) const
+{
+    return request.leaderless_start == m_start_number && is_leaderless();
+}
+
+/// Asks all voters whether they know a leader. If all machines were lost at
+/// once, the promise not to elect another leader binds nobody any more.
+void node::impl::ask_whether_leaderless()
+{
+    m_leaderless.clear();
+    m_asked_leaderless_at = m_now;
+    put_off_leaderless_question();
+    ask_for_trial_votes();
+}
+
+/// Spreads the questions, so that one replica is elected before the others
+/// ask.
+void node::impl::put_off_leaderless_question()
+{
+    const duration window = m_settings.leaderless_window;
+    const auto spread = static_cast<std::uint64_t>(window.count());
+    m_next_leaderless_question =
+        m_now + window + duration(m_random.below(spread));
+}
+
+void node::impl::note_leaderless(const replica_id& from,
+                                 const vote_answer& answer)
+{
+    // Half of the window leaves room for clocks that run at other speeds.
+    const bool is_in_time =
+        m_now < m_asked_leaderless_at + m_settings.leaderless_window / 2;
+    if (!is_in_time || !is_leaderless() || !members().is_voter(from) ||
+        !may_campaign())
+    {
+        return;
+    }
+    m_leaderless[from] = answer.leaderless_start;
+    if (m_leaderless.size() + 1 == members().voters())
+    {
+        start_election(false, std::exchange(m_leaderless, {}));
+    }
+}
+
+void node::impl::start_election(bool is_handover,
+                                const leaderless_starts& leaderless)
 {
     m_role = node_role::candidate;
     m_leader.reset();
@@ -94,6 +161,9 @@
         }
         vote_request request;
         request.is_handover = is_handover;
+        const auto known = leaderless.find(id);
+        request.leaderless_start =
+            known == leaderless.end() ? 0 : known->second;
         request.last = m_log.last();
         request.last_term = m_log.last_term();
         hold_back(id, request);
@@ -125,6 +195,7 @@
 {
     m_role = node_role::leader;
     m_leader = m_self;
+    m_has_known_leader = true;
     m_led_since = m_now;
     m_next_heartbeat = m_now;
     m_gave_up_lease = false;
@@ -160,6 +231,8 @@
     {
         answer.granted = from.term > m_hard.term && !is_promised_to_leader() &&
                          is_up_to_date(request);
+        answer.leaderless_start =
+            is_leaderless() && is_up_to_date(request) ? m_start_number : 0;
         const term_number term = answer.granted ? from.term : m_hard.term;
         m_held_back.push_back({m_self, from.from, term, answer});
         return;
@@ -171,12 +244,17 @@
         m_hard.vote = from.from;
         m_hard_changed = true;
         reset_election_deadline();
+        put_off_leaderless_question();
     }
     hold_back(from.from, answer);
 }
 
 void node::impl::on_vote_answer(const message& from, const vote_answer& answer)
 {
+    if (answer.is_trial && answer.leaderless_start != 0)
+    {
+        note_leaderless(from.from, answer);
+    }
     if (!answer.granted)
     {
         return;
--- a/libs/consensus/src/node_follower.cpp
+++ b/libs/consensus/src/node_follower.cpp
@@ -12,6 +12,7 @@
         become_follower(m_hard.term, leader);
     }
     m_heard_leader = m_now;
+    m_has_known_leader = true;
     m_empty_vms.clear();
     reset_election_deadline();
 }
--- a/libs/consensus/src/node_impl.hpp
+++ b/libs/consensus/src/node_impl.hpp
@@ -110,7 +110,15 @@
     void become_follower(term_number term, std::optional<replica_id> leader);
     bool may_campaign() const;
     void start_trial();
-    void start_election(bool is_handover);
+    using leaderless_starts = std::map<replica_id, std::uint64_t>;
+    void start_election(bool is_handover,
+                        const leaderless_starts& leaderless = {});
+    void ask_for_trial_votes();
+    bool is_leaderless() const;
+    bool is_proven_leaderless(const vote_request& request) const;
+    void ask_whether_leaderless();
+    void put_off_leaderless_question();
+    void note_leaderless(const replica_id& from, const vote_answer& answer);
     void count_vote(const replica_id& from);
     void become_leader();
     void on_vote_request(const message& from, const vote_request& request);
@@ -195,6 +203,14 @@
     std::optional<time_point> m_heard_leader;
     time_point m_election_deadline;
     std::set<replica_id> m_votes;
+    /// This start of the process, and whether it led or followed since.
+    std::uint64_t m_start_number;
+    time_point m_started_at;
+    bool m_has_known_leader = false;
+    /// Voters that said they are leaderless since they were asked last.
+    leaderless_starts m_leaderless;
+    time_point m_asked_leaderless_at{};
+    time_point m_next_leaderless_question{};
     std::optional<incoming_snapshot> m_incoming;
 
     std::map<replica_id, follower_progress> m_followers;
--- a/libs/consensus/test/node_test.cpp
+++ b/libs/consensus/test/node_test.cpp
@@ -16,6 +16,7 @@
     options.seed = seed;
     options.consensus.heartbeat_interval = milliseconds(60);
     options.consensus.election_timeout = milliseconds(300);
+    options.consensus.leaderless_window = milliseconds(60);
     options.consensus.trailing_entries = 8;
     options.consensus.snapshot_chunk_bytes = 64;
     options.snapshot_interval = 20;
@@ -94,6 +95,53 @@
     BOOST_TEST(group->checker().acknowledgements() == 10U);
 }
 
+BOOST_AUTO_TEST_CASE(group_restarted_at_once_does_not_wait_for_promises)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        start(seed);
+        propose(5);
+        group->run_for(seconds(1));
+        for (std::size_t vm = 0; vm < group->size(); ++vm)
+        {
+            group->restart(vm);
+        }
+        const auto is_led = [this]
+        {
+            return group->leader().has_value();
+        };
+        // Promises bind for 300 ms.
+        BOOST_TEST(group->run_until(is_led, milliseconds(250)));
+        check();
+        settle();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(replica_that_knew_a_leader_keeps_its_promise)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        start(seed);
+        propose(5);
+        group->run_for(seconds(1));
+        const std::size_t spared = follower();
+        for (std::size_t vm = 0; vm < group->size(); ++vm)
+        {
+            if (vm != spared)
+            {
+                group->restart(vm);
+            }
+        }
+        const auto is_led = [this]
+        {
+            return group->leader().has_value();
+        };
+        BOOST_TEST(!group->run_until(is_led, milliseconds(200)));
+        check();
+        settle();
+    }
+}
+
 BOOST_AUTO_TEST_CASE(leader_isolated_for_long_then_healed_follows)
 {
     start();
--- a/libs/http/src/connection_pool.hpp
+++ b/libs/http/src/connection_pool.hpp
@@ -38,7 +38,7 @@
              boost::asio::ip::tcp::socket socket);
 
 private:
-    using clock = std::chrono::steady_clock;
+    using clock = monotonic_clock;
 
     struct idle_connection
     {
