A group promises nothing before it can bear the loss of a disk; calmer quick elections

A seeded group now refuses orders until as many replicas vote as there are seeds. Test, failed before: nothing_is_promised_while_the_group_is_being_founded.

--- a/libs/consensus/src/node.cpp
+++ b/libs/consensus/src/node.cpp
@@ -123,7 +123,7 @@
     reset_election_deadline();
     m_start_number = m_random.next() | 1U;
     m_started_at = now;
-    put_off_leaderless_question();
+    put_off_leaderless_question(m_settings.leaderless_window);
 }
 
 actions node::impl::step(time_point now, event what)
--- a/libs/consensus/src/node_election.cpp
+++ b/libs/consensus/src/node_election.cpp
@@ -111,18 +111,18 @@
 {
     m_leaderless.clear();
     m_asked_leaderless_at = m_now;
-    put_off_leaderless_question();
+    put_off_leaderless_question(m_settings.leaderless_window);
     ask_for_trial_votes();
 }
 
 /// Spreads the questions, so that one replica is elected before the others
 /// ask.
-void node::impl::put_off_leaderless_question()
+void node::impl::put_off_leaderless_question(duration shortest)
 {
-    const duration window = m_settings.leaderless_window;
-    const auto spread = static_cast<std::uint64_t>(window.count());
+    const auto spread =
+        static_cast<std::uint64_t>(m_settings.leaderless_window.count());
     m_next_leaderless_question =
-        m_now + window + duration(m_random.below(spread));
+        m_now + shortest + duration(m_random.below(spread));
 }
 
 void node::impl::note_leaderless(const replica_id& from,
@@ -139,6 +139,7 @@
     m_leaderless[from] = answer.leaderless_start;
     if (m_leaderless.size() + 1 == members().voters())
     {
+        put_off_leaderless_question(m_settings.election_timeout);
         start_election(false, std::exchange(m_leaderless, {}));
     }
 }
@@ -231,8 +232,12 @@
     {
         answer.granted = from.term > m_hard.term && !is_promised_to_leader() &&
                          is_up_to_date(request);
-        answer.leaderless_start =
-            is_leaderless() && is_up_to_date(request) ? m_start_number : 0;
+        if (is_leaderless() && is_up_to_date(request))
+        {
+            answer.leaderless_start = m_start_number;
+            // Leaves the election to the one that asks.
+            put_off_leaderless_question(m_settings.leaderless_window);
+        }
         const term_number term = answer.granted ? from.term : m_hard.term;
         m_held_back.push_back({m_self, from.from, term, answer});
         return;
@@ -244,7 +249,8 @@
         m_hard.vote = from.from;
         m_hard_changed = true;
         reset_election_deadline();
-        put_off_leaderless_question();
+        // An election takes as long as a slow disk.
+        put_off_leaderless_question(m_settings.election_timeout);
     }
     hold_back(from.from, answer);
 }
--- a/libs/consensus/src/node_impl.hpp
+++ b/libs/consensus/src/node_impl.hpp
@@ -117,7 +117,7 @@
     bool is_leaderless() const;
     bool is_proven_leaderless(const vote_request& request) const;
     void ask_whether_leaderless();
-    void put_off_leaderless_question();
+    void put_off_leaderless_question(duration shortest);
     void note_leaderless(const replica_id& from, const vote_answer& answer);
     void count_vote(const replica_id& from);
     void become_leader();
@@ -155,6 +155,7 @@
     bool has_committed_in_term() const;
     void answer_reads();
     void continue_handover();
+    bool is_founded() const;
     void resign();
     round_number next_round();
 
--- a/libs/consensus/src/node_leader.cpp
+++ b/libs/consensus/src/node_leader.cpp
@@ -314,9 +314,17 @@
     }
 }
 
+/// Whether as many replicas vote as found a group. Fewer could not bear the
+/// loss of a disk, so nothing is promised before.
+bool node::impl::is_founded() const
+{
+    return !m_accepts_any_vm || members().voters() >= m_group.size();
+}
+
 void node::impl::operator()(propose& what)
 {
-    const bool accepts = m_role == node_role::leader && !m_handover;
+    const bool accepts =
+        m_role == node_role::leader && !m_handover && is_founded();
     for (proposal& next : what.proposals)
     {
         if (!accepts)
--- a/libs/consensus/test/node_test.cpp
+++ b/libs/consensus/test/node_test.cpp
@@ -105,6 +105,8 @@
         for (std::size_t vm = 0; vm < group->size(); ++vm)
         {
             group->restart(vm);
+            // Machines do not tick at the same moments.
+            group->run_for(milliseconds(7));
         }
         const auto is_led = [this]
         {
--- a/libs/consensus/test/seeded_group_test.cpp
+++ b/libs/consensus/test/seeded_group_test.cpp
@@ -164,6 +164,41 @@
     BOOST_TEST(voters() == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(nothing_is_promised_while_the_group_is_being_founded)
+{
+    for (const char* name : {"a", "b", "c"})
+    {
+        start(name, seeds_abc(), true);
+    }
+    std::uint64_t number = 0;
+    std::size_t refused = 0;
+    while (leaders().empty() || voters() < 3)
+    {
+        run_for(tick_length);
+        if (leaders().empty())
+        {
+            continue;
+        }
+        if (voters() >= 3)
+        {
+            break;
+        }
+        const vm_id leader = leaders().at(0);
+        step(leader, propose{{{ticket(++number), "order"}}});
+        BOOST_REQUIRE(!results[leader].empty());
+        const request_result& result = results[leader].back();
+        BOOST_TEST((result.id == ticket(number)));
+        BOOST_TEST((result.state == request_state::refused));
+        ++refused;
+    }
+    BOOST_TEST(refused > 0U);
+    run_for(seconds(1));
+    const vm_id leader = leaders().at(0);
+    step(leader, propose{{{ticket(++number), "order"}}});
+    run_for(seconds(1));
+    BOOST_TEST((results[leader].back().state == request_state::done));
+}
+
 BOOST_AUTO_TEST_CASE(seeds_that_may_not_found_wait)
 {
     for (const char* name : {"a", "b", "c"})
