Requests that come just after a router's start wait for what it learns

Cause: after a loss of all machines routers refused every request until the configuration came, 0.8 s later, and then for want of servers that had not reported yet; callers that may come back once were lost or late.

A router younger than 1.2 s lets a request wait for the configuration for a quarter of the caller's patience at most, and for a server as for room. Older ones refuse at once as before (the tests for that now use an older router, and bound the time). Registrations are passed on to the pool only when they changed.

Tests: request_just_after_the_start_waits_for_the_configuration and _for_a_server (refused before), wait_for_the_configuration_ends_in_a_refusal, only_servers_that_changed_are_passed_on.

--- a/libs/gateway/src/directory_client.cpp
+++ b/libs/gateway/src/directory_client.cpp
@@ -203,6 +203,16 @@
         // The sender waits for this before it sends newer orders.
         subscribe(from);
     }
+    take_registrations(from, news);
+    if (news.routers > 0)
+    {
+        m_callbacks.on_routers(news.routers);
+    }
+}
+
+void directory_client::take_registrations(const vm_id& from,
+                                          const directory::update& news)
+{
     for (const directory::registration& row : news.registrations)
     {
         if (m_table.merge(row) == directory::merge_result::changed)
@@ -217,14 +227,16 @@
                        {"replica", from.get()}});
         }
     }
-    m_table.for_each(
-        [this](const directory::registration& row)
-        {
-            m_callbacks.on_registration(row);
-        });
-    if (news.routers > 0)
+    const std::uint64_t passed = m_passed_change;
+    m_passed_change =
+        m_table.changes_after(passed,
+                              [this](const directory::registration& row)
+                              {
+                                  m_callbacks.on_registration(row);
+                              });
+    if (m_passed_change != passed)
     {
-        m_callbacks.on_routers(news.routers);
+        m_callbacks.on_servers_changed();
     }
 }
 
--- a/libs/gateway/src/directory_client.hpp
+++ b/libs/gateway/src/directory_client.hpp
@@ -34,7 +34,10 @@
 struct directory_callbacks
 {
     std::function<void(const fleet_orders&)> on_orders;
+    /// Called for each registration that has changed.
     std::function<void(const directory::registration&)> on_registration;
+    /// Called after registrations have changed.
+    std::function<void()> on_servers_changed;
     std::function<void(std::uint32_t)> on_routers;
 };
 
@@ -65,6 +68,7 @@
 
     void add_replica(const vm_id& vm);
     void receive(const vm_id& from, std::string_view payload);
+    void take_registrations(const vm_id& from, const directory::update& news);
     void take_orders(const directory::update& news);
     /// Keeps the orders of the news, if they are newer. Returns whether those
     /// kept are at least as new as the news.
@@ -80,6 +84,8 @@
     std::shared_ptr<wire::link_hub> m_hub;
     std::map<vm_id, replica> m_replicas;
     directory::registration_table m_table;
+    /// Number of the last change of the table that was passed on.
+    std::uint64_t m_passed_change = 0;
     /// The newest orders that any replica told. The first ones are in force
     /// only when a leader has said that they are the newest.
     fleet_orders m_orders;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -138,6 +138,10 @@
         {
             m_state.pool.apply(row);
         };
+        callbacks.on_servers_changed = [this]
+        {
+            m_state.queue.wake_all();
+        };
         callbacks.on_routers = [this](std::uint32_t count)
         {
             m_state.pool.set_routers(count);
--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -13,8 +13,9 @@
 namespace
 {
 
-/// Time after its start in which a gateway learns the configuration when all
-/// machines start at once, and the shortest time to return that a caller is
+/// Time after its start in which a gateway learns the configuration and the
+/// servers when all machines start at once: an election, and one period of the
+/// servers' signs of life. And the shortest time to return that a caller is
 /// told before.
 constexpr duration learning_time = milliseconds(1200);
 constexpr duration come_back_unready = milliseconds(300);
@@ -24,6 +25,9 @@
 /// Time to return after a refusal for lack of room: about the time in which
 /// a server ends a request.
 constexpr duration come_back_full = milliseconds(500);
+/// Part of the caller's patience that a request may wait for the
+/// configuration; the rest is enough to be served.
+constexpr int patience_parts_waited = 4;
 /// Part of the route's objective that a request may wait for room. The rest
 /// is what a server takes to begin.
 constexpr int objective_parts_waited = 2;
@@ -38,8 +42,7 @@
 request_run::request_run(gateway_state& shared, http::exchange& caller)
     : m_shared(shared),
       m_caller(caller),
-      m_arrived(monotonic_clock::now()),
-      m_plan(shared.plan)
+      m_arrived(monotonic_clock::now())
 {
 }
 
@@ -50,13 +53,23 @@
 
 net::awaitable<void> request_run::run()
 {
-    const auto unfit = classify();
-    if (unfit)
+    auto unfit = read_call();
+    if (!unfit)
+    {
+        watch_caller();
+        co_await wait_for_plan();
+        unfit = classify();
+    }
+    if (unfit && !m_gone)
     {
         co_await refuse(*unfit);
         co_return;
     }
-    watch_caller();
+    if (m_gone)
+    {
+        log_end("caller_gone");
+        co_return;
+    }
     const refusal_cause cause = co_await serve();
     if (m_status == 0 && !m_gone && m_failure)
     {
@@ -71,16 +84,42 @@
     log_end(m_gone ? "caller_gone" : "answered");
 }
 
-std::optional<refusal_cause> request_run::classify()
+std::optional<refusal_cause> request_run::read_call()
 {
-    const http::request& message = m_caller.received();
-    const auto parsed = m_shared.language.read_call(message);
+    const auto parsed = m_shared.language.read_call(m_caller.received());
     if (!is_ok(parsed))
     {
         m_last_failure = error_of(parsed).message;
         return refusal_cause::malformed;
     }
     m_call = value_of(parsed);
+    return std::nullopt;
+}
+
+bool request_run::is_learning() const
+{
+    return monotonic_clock::now() < m_shared.started_at + learning_time;
+}
+
+net::awaitable<void> request_run::wait_for_plan()
+{
+    const duration patience = m_call.patience.value_or(learning_time);
+    const time_point until =
+        std::min(m_arrived + patience / patience_parts_waited,
+                 m_shared.started_at + learning_time);
+    for (time_point now = m_arrived;
+         !m_shared.plan && !m_shared.is_ending && !m_gone && now < until;
+         now = monotonic_clock::now())
+    {
+        co_await m_shared.queue.wait({}, 0, until - now);
+    }
+    m_plan = m_shared.plan;
+    m_waited = monotonic_clock::now() - m_arrived;
+}
+
+std::optional<refusal_cause> request_run::classify()
+{
+    const http::request& message = m_caller.received();
     if (m_shared.is_ending)
     {
         return refusal_cause::shutting_down;
@@ -156,7 +195,7 @@
             co_return *server;
         }
         const bool is_full = std::get<no_choice>(choice) == no_choice::no_room;
-        if (m_gone || !is_full || now >= until)
+        if (m_gone || (!is_full && !is_learning()) || now >= until)
         {
             m_waited += now - begun;
             co_return is_full ? refusal_cause::no_room
--- a/libs/gateway/src/request_run.hpp
+++ b/libs/gateway/src/request_run.hpp
@@ -45,6 +45,10 @@
         interrupted ///< A stream broke off; the caller has a part.
     };
 
+    std::optional<refusal_cause> read_call();
+    /// Waits for the configuration where one is about to come.
+    boost::asio::awaitable<void> wait_for_plan();
+    bool is_learning() const;
     std::optional<refusal_cause> classify();
     boost::asio::awaitable<std::variant<chosen_server, refusal_cause>>
     find_server();
--- a/libs/gateway/test/directory_client_test.cpp
+++ b/libs/gateway/test/directory_client_test.cpp
@@ -34,6 +34,8 @@
     net::io_context context;
     std::uint16_t port = find_port(context);
     std::vector<fleet_orders> taken;
+    /// Servers that the client passed on.
+    std::vector<std::string> changed;
     /// Indexes of the documents that the client said it keeps.
     std::vector<std::uint64_t> held;
     /// Whether the replica is sure that what it tells is the newest.
@@ -101,7 +103,11 @@
         {
             taken.push_back(orders);
         };
-        callbacks.on_registration = [](const directory::registration&) {};
+        callbacks.on_registration = [this](const directory::registration& row)
+        {
+            changed.push_back(row.id.get());
+        };
+        callbacks.on_servers_changed = [] {};
         callbacks.on_routers = [](std::uint32_t) {};
         auto made =
             directory_client::listen(context, settings, std::move(callbacks));
@@ -167,6 +173,30 @@
 
 BOOST_AUTO_TEST_SUITE(orders_from_replicas)
 
+BOOST_FIXTURE_TEST_CASE(only_servers_that_changed_are_passed_on,
+                        client_replica_found)
+{
+    directory::registration row;
+    row.id = engine_id("a");
+    row.address = "10.0.0.1:80";
+    row.heard_at = monotonic_clock::now();
+    directory::update news;
+    news.registrations = {row};
+    tell(news);
+    tell(news);
+    row.id = engine_id("b");
+    row.address = "10.0.0.2:80";
+    news.registrations = {row};
+    tell(news);
+    run_until(
+        [this]
+        {
+            return !changed.empty() && changed.back() == "b";
+        });
+    BOOST_TEST(changed == (std::vector<std::string>{"a", "b"}),
+               boost::test_tools::per_element());
+}
+
 BOOST_FIXTURE_TEST_CASE(orders_taken_are_confirmed_at_once,
                         client_replica_found)
 {
--- a/libs/gateway/test/request_run_test.cpp
+++ b/libs/gateway/test/request_run_test.cpp
@@ -405,15 +405,66 @@
     BOOST_TEST(total_seen() == 0);
 }
 
-BOOST_AUTO_TEST_CASE(gateway_without_a_configuration_refuses)
+BOOST_AUTO_TEST_CASE(gateway_without_a_configuration_refuses_at_once)
 {
+    state.started_at -= seconds(5);
+    const time_point begun = monotonic_clock::now();
     BOOST_TEST(run().front() == "503 no_plan");
+    BOOST_TEST((monotonic_clock::now() - begun < seconds(1)));
 }
 
 BOOST_AUTO_TEST_CASE(request_without_any_server_is_refused_at_once)
 {
+    state.started_at -= seconds(5);
     set_route(directory::request_kind::single);
+    const time_point begun = monotonic_clock::now();
     BOOST_TEST(run().front() == "503 no_server");
+    BOOST_TEST((monotonic_clock::now() - begun < milliseconds(400)));
+}
+
+BOOST_AUTO_TEST_CASE(request_just_after_the_start_waits_for_the_configuration)
+{
+    add_server(answer_whole);
+    net::post(context,
+              [this]
+              {
+                  net::co_spawn(context, fetch(0), net::detached);
+              });
+    while (state.queue.size() == 0)
+    {
+        context.run_one();
+    }
+    set_route(directory::request_kind::single);
+    state.queue.wake_all();
+    while (results.empty())
+    {
+        context.run_one();
+    }
+    BOOST_TEST(results.front() == "200 whole");
+}
+
+BOOST_AUTO_TEST_CASE(request_just_after_the_start_waits_for_a_server)
+{
+    set_route(directory::request_kind::single);
+    net::co_spawn(context, fetch(0), net::detached);
+    while (state.queue.size() == 0)
+    {
+        context.run_one();
+    }
+    add_server(answer_whole);
+    state.queue.wake_all();
+    while (results.empty())
+    {
+        context.run_one();
+    }
+    BOOST_TEST(results.front() == "200 whole");
+}
+
+BOOST_AUTO_TEST_CASE(wait_for_the_configuration_ends_in_a_refusal)
+{
+    const time_point begun = monotonic_clock::now();
+    BOOST_TEST(run().front() == "503 no_plan");
+    BOOST_TEST((monotonic_clock::now() - begun < milliseconds(600)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
