Quick elections also without a lost disk's voter; orders in a class of their own; metrics of replicas

A newer incarnation of its VM that asks to join shows that it is gone, so its word is not needed.

Replicas show metrics at an address of their settings; fleet orders moved from control_server to order_desk without change.

A failed interleaving prints what each replica believes.

--- a/libs/consensus/interleavings/interleavings_test.cpp
+++ b/libs/consensus/interleavings/interleavings_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <cstdlib>
+#include <sstream>
 
 using namespace limpet;
 using namespace limpet::consensus;
@@ -72,7 +73,8 @@
         m_group.heal();
         if (!become_whole())
         {
-            return violation().empty() ? "group does not recover" : violation();
+            return violation().empty() ? "group does not recover" + states()
+                                       : violation();
         }
         return violation();
     }
@@ -101,6 +103,32 @@
         return result;
     }
 
+    /// What each VM believes, to trace a failure by.
+    std::string states() const
+    {
+        std::ostringstream out;
+        for (std::size_t vm = 0; vm < m_group.size(); ++vm)
+        {
+            out << "\n  " << m_group.id(vm).vm.get() << "."
+                << m_group.id(vm).storage.get();
+            if (!m_group.is_up(vm))
+            {
+                out << " down";
+                continue;
+            }
+            const node_view state = m_group.view(vm);
+            out << " role " << static_cast<int>(state.role) << " term "
+                << state.term.get() << " last " << state.last.get()
+                << " committed " << state.committed.get() << " members";
+            for (const auto& [id, role] : state.members.members())
+            {
+                out << " " << id.vm.get() << "." << id.storage.get()
+                    << (role == member_role::voter ? "" : "(learner)");
+            }
+        }
+        return out.str();
+    }
+
     const std::string& violation() const
     {
         return m_group.checker().violation();
--- a/libs/consensus/src/node.cpp
+++ b/libs/consensus/src/node.cpp
@@ -210,8 +210,7 @@
     const auto* vote = std::get_if<vote_request>(&content.body);
     const auto* answer = std::get_if<vote_answer>(&content.body);
     const bool is_trial = (vote && vote->is_trial) ||
-                          (answer && answer->is_trial &&
-                           (answer->granted || answer->leaderless_start != 0));
+                          (answer && answer->is_trial && answer->granted);
     if (is_trial || std::holds_alternative<join_request>(content.body))
     {
         return true;
@@ -225,7 +224,8 @@
     {
         become_follower(content.term, std::nullopt);
     }
-    if (content.term == m_hard.term)
+    const bool is_leaderless_answer = answer && answer->leaderless_start != 0;
+    if (content.term == m_hard.term || is_leaderless_answer)
     {
         return true;
     }
--- a/libs/consensus/src/node_election.cpp
+++ b/libs/consensus/src/node_election.cpp
@@ -125,6 +125,23 @@
         m_now + shortest + duration(m_random.below(spread));
 }
 
+/// Whether every voter said so, is this replica, or is gone for good, as its
+/// VM has lost its disk.
+bool node::impl::are_all_leaderless() const
+{
+    for (const auto& [id, role] : members().members())
+    {
+        const bool is_leaderless_voter = id == m_self ||
+                                         m_leaderless.contains(id) ||
+                                         m_replaced.contains(id);
+        if (role == member_role::voter && !is_leaderless_voter)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 void node::impl::note_leaderless(const replica_id& from,
                                  const vote_answer& answer)
 {
@@ -137,7 +154,7 @@
         return;
     }
     m_leaderless[from] = answer.leaderless_start;
-    if (m_leaderless.size() + 1 == members().voters())
+    if (are_all_leaderless())
     {
         put_off_leaderless_question(m_settings.election_timeout);
         start_election(false, std::exchange(m_leaderless, {}));
--- a/libs/consensus/src/node_impl.hpp
+++ b/libs/consensus/src/node_impl.hpp
@@ -118,6 +118,7 @@
     bool is_proven_leaderless(const vote_request& request) const;
     void ask_whether_leaderless();
     void put_off_leaderless_question(duration shortest);
+    bool are_all_leaderless() const;
     void note_leaderless(const replica_id& from, const vote_answer& answer);
     void count_vote(const replica_id& from);
     void become_leader();
@@ -210,6 +211,8 @@
     bool m_has_known_leader = false;
     /// Voters that said they are leaderless since they were asked last.
     leaderless_starts m_leaderless;
+    /// Members whose VM runs another incarnation by now.
+    std::set<replica_id> m_replaced;
     time_point m_asked_leaderless_at{};
     time_point m_next_leaderless_question{};
     std::optional<incoming_snapshot> m_incoming;
--- a/libs/consensus/src/node_members.cpp
+++ b/libs/consensus/src/node_members.cpp
@@ -121,11 +121,15 @@
         return;
     }
     const bool is_known = members().contains(id) || members().is_superseded(id);
+    const auto former = members().other_incarnation(id);
+    if (!is_known && former)
+    {
+        m_replaced.insert(*former);
+    }
     if (!m_settings.automatic_repair || is_known)
     {
         return;
     }
-    const auto former = members().other_incarnation(id);
     if (former && !members().is_voter(*former))
     {
         propose_change(no_ticket, {change_kind::remove, *former});
--- a/libs/consensus/test/node_test.cpp
+++ b/libs/consensus/test/node_test.cpp
@@ -119,6 +119,32 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(group_restarted_without_one_disk_does_not_wait_either)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        start(seed);
+        propose(5);
+        group->run_for(seconds(1));
+        wipe(seed % group->size());
+        for (std::size_t vm = 0; vm < group->size(); ++vm)
+        {
+            if (vm != seed % group->size())
+            {
+                group->restart(vm);
+                group->run_for(milliseconds(7));
+            }
+        }
+        const auto is_led = [this]
+        {
+            return group->leader().has_value();
+        };
+        BOOST_TEST(group->run_until(is_led, milliseconds(250)));
+        check();
+        settle();
+    }
+}
+
 BOOST_AUTO_TEST_CASE(replica_that_knew_a_leader_keeps_its_promise)
 {
     for (std::uint64_t seed = 1; seed <= 10; ++seed)
--- a/libs/control/include/limpet/control/control_settings.hpp
+++ b/libs/control/include/limpet/control/control_settings.hpp
@@ -34,6 +34,8 @@
     boost::asio::ip::tcp::endpoint operators;
     /// Where the project's other processes reach the replica.
     boost::asio::ip::tcp::endpoint peers;
+    /// Where metrics are read, if anywhere.
+    std::optional<boost::asio::ip::tcp::endpoint> metrics;
     /// Name of the control group, equal on all its replicas. Routers refuse a
     /// configuration of another group.
     std::string group_name = "limpet";
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -5,6 +5,8 @@
 #include "directory_feed.hpp"
 #include "follower_reads.hpp"
 #include "operator_service.hpp"
+#include "order_desk.hpp"
+#include "replica_metrics.hpp"
 #include "wall_clock.hpp"
 
 #include <limpet/base/hash.hpp>
@@ -44,7 +46,7 @@
 constexpr duration heartbeat_interval = milliseconds(125);
 constexpr duration election_timeout = milliseconds(500);
 
-class running_server final : public control_server, private fleet_orders
+class running_server final : public control_server
 {
 public:
     running_server(net::io_context& context,
@@ -77,14 +79,28 @@
             std::make_unique<follower_reads>(m_context, *m_replica, m_hub);
         m_operators = std::make_unique<operator_service>(
             m_state, *m_source, *m_replica, *m_hub);
+        if (m_settings.found_by)
+        {
+            make_feed();
+            m_orders = std::make_unique<order_desk>(
+                m_state,
+                *m_replica,
+                *m_feed,
+                *m_reads,
+                vm_ports{m_settings.vm, m_settings.operators.port()});
+        }
         opened = open_server();
+        if (is_ok(opened) && m_settings.metrics)
+        {
+            opened = open_metrics();
+        }
         if (!is_ok(opened))
         {
             return opened;
         }
-        if (m_settings.found_by)
+        if (m_feed)
         {
-            start_feed();
+            m_feed->start();
         }
         m_replica->start();
         log_event(
@@ -114,6 +130,10 @@
     void close() override
     {
         m_server->close();
+        if (m_metrics_server)
+        {
+            m_metrics_server->close();
+        }
         m_hub->close();
     }
 
@@ -218,7 +238,7 @@
         }
     }
 
-    void start_feed()
+    void make_feed()
     {
         feed_callbacks callbacks;
         callbacks.orders = [this]() -> const directory::intent&
@@ -265,7 +285,6 @@
             know_replica(each.id.vm);
             m_feed->add_contact(each.id.vm);
         }
-        m_feed->start();
     }
 
     void note_leader()
@@ -285,118 +304,6 @@
                    {"members", state.members.size()}});
     }
 
-    net::awaitable<status> submit(directory::command order) override
-    {
-        // Another document may come into force while a change of the former
-        // one is being replicated; then the whole is.
-        auto done = co_await propose(as_change(order));
-        if (is_ok(done) && value_of(done).answer == other_base_answer)
-        {
-            done = co_await propose(order);
-        }
-        if (!is_ok(done))
-        {
-            co_return error_of(done);
-        }
-        log_event(log_level::info,
-                  "order.in_force",
-                  {{"kind", static_cast<int>(order.kind)},
-                   {"version", order.version.get()},
-                   {"data_centre", order.data_centre},
-                   {"index", value_of(done).index.get()},
-                   {"version_in_force", m_state.orders().version.get()}});
-        co_return success();
-    }
-
-    /// Returns the order with its document as a change of the one in force.
-    directory::command as_change(const directory::command& order) const
-    {
-        const directory::intent& known = m_state.orders();
-        if (!order.document || !known.document)
-        {
-            return order;
-        }
-        directory::command changed = order;
-        changed.document = nullptr;
-        changed.change = directory::change_of_version{
-            known.version,
-            directory::make_delta(known.document->text(),
-                                  order.document->text())};
-        return changed;
-    }
-
-    net::awaitable<outcome<replica::proposal_result>>
-    propose(const directory::command& order)
-    {
-        using result = outcome<replica::proposal_result>;
-        const std::string entry = make_entry(order);
-        // Named, as GCC 12 destroys temporaries of an awaited expression that
-        // capture objects twice.
-        const std::function<void(std::function<void(result)>)> start =
-            [this, entry](std::function<void(result)> call)
-        {
-            m_replica->propose(entry, std::move(call));
-        };
-        co_return co_await await_callback<result>(start);
-    }
-
-    net::awaitable<outcome<std::shared_ptr<const directory::stored_document>>>
-    read_document() override
-    {
-        const status known = co_await await_callback<status>(
-            [this](std::function<void(status)> call)
-            {
-                if (is_leader())
-                {
-                    m_replica->read_barrier(std::move(call));
-                    return;
-                }
-                m_reads->barrier(std::move(call));
-            });
-        if (!is_ok(known))
-        {
-            co_return error_of(known);
-        }
-        co_return m_state.orders().document;
-    }
-
-    bool is_leader() const override
-    {
-        return m_replica->view().is_leader;
-    }
-
-    std::optional<directory::document_version> version_in_force() const override
-    {
-        const directory::intent& orders = m_state.orders();
-        return orders.document ? std::optional(orders.version) : std::nullopt;
-    }
-
-    directory::merge_result take(const directory::registration& news) override
-    {
-        return m_feed->take(news);
-    }
-
-    directory::merge_result leave(const engine_id& id) override
-    {
-        return m_feed->leave(id);
-    }
-
-    std::optional<net::ip::tcp::endpoint> leader() const override
-    {
-        const auto known = m_replica->view().leader;
-        boost::system::error_code failure;
-        if (!known || known->vm == m_settings.vm)
-        {
-            return std::nullopt;
-        }
-        const auto ip = net::ip::make_address(known->vm.get(), failure);
-        if (failure)
-        {
-            return std::nullopt;
-        }
-        return net::ip::tcp::endpoint(ip, m_settings.operators.port());
-    }
-
     replica::replica_callbacks make_callbacks()
     {
         replica::replica_callbacks callbacks;
@@ -437,7 +344,7 @@
         };
         if (m_make_interface && m_settings.found_by)
         {
-            handle = m_make_interface(*this);
+            handle = m_make_interface(*m_orders);
         }
         auto server = http::server::listen(
             m_context, m_settings.operators, {}, std::move(handle));
@@ -449,6 +356,43 @@
         return success();
     }
 
+    status open_metrics()
+    {
+        auto opened = http::server::listen(
+            m_context,
+            *m_settings.metrics,
+            {},
+            [this](http::exchange& caller) -> net::awaitable<void>
+            {
+                http::response answer;
+                answer.head.headers.set("Content-Type",
+                                        "text/plain; version=0.0.4");
+                answer.body = to_text(figures());
+                co_await caller.respond(std::move(answer));
+            });
+        if (!is_ok(opened))
+        {
+            return error_of(opened);
+        }
+        m_metrics_server = std::move(value_of(opened));
+        return success();
+    }
+
+    replica_figures figures() const
+    {
+        replica_figures result;
+        result.state = m_replica->view();
+        result.orders_index = m_state.orders().index;
+        result.document_version = m_state.orders().version.get();
+        if (m_feed)
+        {
+            result.routers = m_feed->routers();
+            result.servers = m_feed->servers();
+        }
+        result.sent = &m_hub->counters();
+        return result;
+    }
+
     void take_frame(const wire::link_identity& from,
                     wire::channel kind,
                     const std::string& payload)
@@ -551,8 +495,10 @@
     std::unique_ptr<directory_feed> m_feed;
     std::unique_ptr<claims_service> m_claims;
     std::unique_ptr<follower_reads> m_reads;
+    std::unique_ptr<order_desk> m_orders;
     std::unique_ptr<operator_service> m_operators;
     std::unique_ptr<http::server> m_server;
+    std::unique_ptr<http::server> m_metrics_server;
     bool m_draining = false;
     bool m_is_feed_due = false;
     /// Leader as last logged.
--- a/libs/control/src/control_settings.cpp
+++ b/libs/control/src/control_settings.cpp
@@ -97,6 +97,10 @@
     settings.data_centre = data_centre_id(reader.text("data_centre"));
     settings.operators = read_endpoint(reader, "operators");
     settings.peers = read_endpoint(reader, "peers");
+    if (reader.has("metrics"))
+    {
+        settings.metrics = read_endpoint(reader, "metrics");
+    }
     settings.group_name = reader.text_or("group_name", settings.group_name);
     settings.group = read_group(reader);
     settings.found_by = read_discovery(reader);
--- a/libs/control/src/directory_feed.hpp
+++ b/libs/control/src/directory_feed.hpp
@@ -70,6 +70,12 @@
     /// Routers that asked for changes lately.
     std::uint32_t routers() const;
 
+    /// Backend servers that are known, those that left lately included.
+    std::size_t servers() const noexcept
+    {
+        return m_table.size();
+    }
+
 private:
     struct subscriber
     {
--- /dev/null
+++ b/libs/control/src/order_desk.cpp
@@ -0,0 +1,138 @@
+#include "order_desk.hpp"
+
+#include "await_callback.hpp"
+
+#include <limpet/base/log.hpp>
+
+#include <functional>
+#include <utility>
+
+namespace limpet::control
+{
+
+namespace net = boost::asio;
+
+order_desk::order_desk(const control_state& state,
+                       replica::replica& log,
+                       directory_feed& feed,
+                       follower_reads& reads,
+                       vm_ports self)
+    : m_state(state),
+      m_log(log),
+      m_feed(feed),
+      m_reads(reads),
+      m_self(std::move(self))
+{
+}
+
+net::awaitable<status> order_desk::submit(directory::command order)
+{
+    // Another document may come into force while a change of the former
+    // one is being replicated; then the whole is.
+    auto done = co_await propose(as_change(order));
+    if (is_ok(done) && value_of(done).answer == other_base_answer)
+    {
+        done = co_await propose(order);
+    }
+    if (!is_ok(done))
+    {
+        co_return error_of(done);
+    }
+    log_event(log_level::info,
+              "order.in_force",
+              {{"kind", static_cast<int>(order.kind)},
+               {"version", order.version.get()},
+               {"data_centre", order.data_centre},
+               {"index", value_of(done).index.get()},
+               {"version_in_force", m_state.orders().version.get()}});
+    co_return success();
+}
+
+directory::command order_desk::as_change(const directory::command& order) const
+{
+    const directory::intent& known = m_state.orders();
+    if (!order.document || !known.document)
+    {
+        return order;
+    }
+    directory::command changed = order;
+    changed.document = nullptr;
+    changed.change = directory::change_of_version{
+        known.version,
+        directory::make_delta(known.document->text(), order.document->text())};
+    return changed;
+}
+
+net::awaitable<outcome<replica::proposal_result>>
+order_desk::propose(const directory::command& order)
+{
+    using result = outcome<replica::proposal_result>;
+    const std::string entry = make_entry(order);
+    // Named, as GCC 12 destroys temporaries of an awaited expression that
+    // capture objects twice.
+    const std::function<void(std::function<void(result)>)> start =
+        [this, entry](std::function<void(result)> call)
+    {
+        m_log.propose(entry, std::move(call));
+    };
+    co_return co_await await_callback<result>(start);
+}
+
+net::awaitable<outcome<std::shared_ptr<const directory::stored_document>>>
+order_desk::read_document()
+{
+    const status known = co_await await_callback<status>(
+        [this](std::function<void(status)> call)
+        {
+            if (is_leader())
+            {
+                m_log.read_barrier(std::move(call));
+                return;
+            }
+            m_reads.barrier(std::move(call));
+        });
+    if (!is_ok(known))
+    {
+        co_return error_of(known);
+    }
+    co_return m_state.orders().document;
+}
+
+bool order_desk::is_leader() const
+{
+    return m_log.view().is_leader;
+}
+
+std::optional<directory::document_version> order_desk::version_in_force() const
+{
+    const directory::intent& orders = m_state.orders();
+    return orders.document ? std::optional(orders.version) : std::nullopt;
+}
+
+directory::merge_result order_desk::take(const directory::registration& news)
+{
+    return m_feed.take(news);
+}
+
+directory::merge_result order_desk::leave(const engine_id& id)
+{
+    return m_feed.leave(id);
+}
+
+std::optional<net::ip::tcp::endpoint> order_desk::leader() const
+{
+    const auto known = m_log.view().leader;
+    boost::system::error_code failure;
+    if (!known || known->vm == m_self.vm)
+    {
+        return std::nullopt;
+    }
+    const auto ip = net::ip::make_address(known->vm.get(), failure);
+    if (failure)
+    {
+        return std::nullopt;
+    }
+    return net::ip::tcp::endpoint(ip, m_self.operators);
+}
+
+} // namespace limpet::control
--- /dev/null
+++ b/libs/control/src/order_desk.hpp
@@ -0,0 +1,67 @@
+/// \file
+/// Takes orders for the fleet and answers what is in force.
+
+#pragma once
+
+#include "control_state.hpp"
+#include "directory_feed.hpp"
+#include "follower_reads.hpp"
+
+#include <limpet/control/fleet_orders.hpp>
+#include <limpet/replica/replica.hpp>
+
+#include <cstdint>
+
+namespace limpet::control
+{
+
+/// This replica's VM, and the operators' port that all replicas use.
+struct vm_ports
+{
+    vm_id vm;
+    std::uint16_t operators = 0;
+};
+
+/// The replica as interfaces see it. All that it is given must outlive it. Not
+/// thread-safe.
+class order_desk final : public fleet_orders
+{
+public:
+    order_desk(const control_state& state,
+               replica::replica& log,
+               directory_feed& feed,
+               follower_reads& reads,
+               vm_ports self);
+
+    boost::asio::awaitable<status> submit(directory::command order) override;
+
+    boost::asio::awaitable<
+        outcome<std::shared_ptr<const directory::stored_document>>>
+    read_document() override;
+
+    bool is_leader() const override;
+
+    std::optional<directory::document_version>
+    version_in_force() const override;
+
+    directory::merge_result take(const directory::registration& news) override;
+
+    directory::merge_result leave(const engine_id& id) override;
+
+    std::optional<boost::asio::ip::tcp::endpoint> leader() const override;
+
+private:
+    /// Returns the order with its document as a change of the one in force.
+    directory::command as_change(const directory::command& order) const;
+
+    boost::asio::awaitable<outcome<replica::proposal_result>>
+    propose(const directory::command& order);
+
+    const control_state& m_state;
+    replica::replica& m_log;
+    directory_feed& m_feed;
+    follower_reads& m_reads;
+    vm_ports m_self;
+};
+
+} // namespace limpet::control
--- /dev/null
+++ b/libs/control/src/replica_metrics.cpp
@@ -0,0 +1,72 @@
+#include "replica_metrics.hpp"
+
+#include <limpet/base/log.hpp>
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+namespace limpet::control
+{
+
+namespace
+{
+
+constexpr std::array shown_channels = {
+    wire::channel::consensus, wire::channel::control, wire::channel::directory};
+
+void write(std::ostream& out, std::string_view name, std::uint64_t value)
+{
+    out << "limpet_control_" << name << " " << value << "\n";
+}
+
+void write_traffic(std::ostream& out, const wire::traffic_counters& sent)
+{
+    for (const wire::channel each : shown_channels)
+    {
+        const auto label = "{channel=\"" + std::string(to_string(each)) + "\"}";
+        out << "limpet_control_sent_bytes_total" << label << " "
+            << sent.sent_bytes(each) << "\nlimpet_control_sent_frames_total"
+            << label << " " << sent.sent_frames(each)
+            << "\nlimpet_control_received_bytes_total" << label << " "
+            << sent.received_bytes(each)
+            << "\nlimpet_control_received_frames_total" << label << " "
+            << sent.received_frames(each) << "\n";
+    }
+}
+
+} // namespace
+
+std::string to_text(const replica_figures& figures)
+{
+    const replica::replica_view& state = figures.state;
+    const auto voters = std::count_if(state.members.begin(),
+                                      state.members.end(),
+                                      [](const replica::member_view& each)
+                                      {
+                                          return each.voter;
+                                      });
+    std::ostringstream out;
+    write(out, "is_leader", state.is_leader ? 1 : 0);
+    write(out, "has_lease", state.has_lease ? 1 : 0);
+    write(out, "knows_leader", state.leader ? 1 : 0);
+    write(out, "term", state.term.get());
+    write(out, "log_last", state.last.get());
+    write(out, "log_committed", state.committed.get());
+    write(out, "log_applied", state.applied.get());
+    write(out, "log_snapshot", state.snapshot.get());
+    write(out, "members", state.members.size());
+    write(out, "voters", static_cast<std::uint64_t>(voters));
+    write(out, "orders_index", figures.orders_index);
+    write(out, "document_version", figures.document_version);
+    write(out, "routers", figures.routers);
+    write(out, "servers", figures.servers);
+    if (figures.sent != nullptr)
+    {
+        write_traffic(out, *figures.sent);
+    }
+    out << "limpet_log_lines_total " << log_lines_written() << "\n";
+    return out.str();
+}
+
+} // namespace limpet::control
