Limits of callers come from the document; a slow request gets 408

The document's limits are put in force with it, for requests that begin from then on. A head or body that takes too long is answered with 408, which is true as nothing of it was passed on. The test that expected silence for half a request now expects that answer.

Tests: server_limits_that_are_replaced_bound_the_next_request, server_head_must_arrive_sooner_than_the_whole.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <sstream>
 
 namespace limpet::gateway
@@ -32,6 +33,18 @@
 /// Longest time that a connection to a server is kept without a request.
 constexpr duration server_idle_timeout = seconds(4);
 
+http::server_limits to_server_limits(const directory::caller_limits& from)
+{
+    http::server_limits limits;
+    limits.header_bytes = from.header_bytes;
+    limits.body_bytes = from.body_bytes;
+    limits.head_timeout = from.header_timeout;
+    limits.receive_timeout =
+        std::max(limits.receive_timeout, from.header_timeout);
+    limits.idle_timeout = from.idle_timeout;
+    return limits;
+}
+
 class running_gateway final : public gateway
 {
 public:
@@ -174,6 +187,8 @@
         m_state.plan = std::make_shared<const directory::route_table>(
             value_of(std::move(plan)));
         m_state.pool.set_plan(m_state.plan);
+        m_callers->set_limits(
+            to_server_limits(m_state.plan->document().limits));
         m_state.queue.wake_all();
         log_event(log_level::info,
                   "document.in_force",
--- a/libs/http/include/limpet/http/server.hpp
+++ b/libs/http/include/limpet/http/server.hpp
@@ -27,6 +27,8 @@
     /// All bodies that are kept at one time.
     std::size_t total_body_bytes = 256UL * 1024 * 1024;
     std::size_t connections = 10000;
+    /// Time for the head of a request to arrive.
+    duration head_timeout = seconds(10);
     /// Time for a request to arrive whole.
     duration receive_timeout = seconds(10);
     /// Time that a connection without a request stays open.
@@ -97,6 +99,10 @@
     /// Returns the address in use.
     virtual boost::asio::ip::tcp::endpoint local_endpoint() const = 0;
 
+    /// Replaces the limits for requests that begin to arrive from now on. The
+    /// limits of connections and of all bodies stay. Thread-safe.
+    virtual void set_limits(const server_limits& limits) = 0;
+
     /// Lets each answer from now on end its connection, so that callers go
     /// elsewhere. Still accepts. Thread-safe.
     virtual void wind_down() = 0;
--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -44,6 +44,8 @@
 {
     switch (status)
     {
+    case 408:
+        return "the request took too long to arrive";
     case 413:
         return "the body is too large";
     case 431:
@@ -80,7 +82,7 @@
     : m_socket(std::move(socket)),
       m_core(std::move(core)),
       m_deadline(std::make_shared<deadline>(m_socket.get_executor(), m_socket)),
-      m_buffer(m_core->limits.header_bytes + early_bytes)
+      m_buffer(m_core->limits().header_bytes + early_bytes)
 {
 }
 
@@ -168,7 +170,7 @@
         {
             co_return false;
         }
-        m_deadline->expires_after(m_core->limits.idle_timeout);
+        m_deadline->expires_after(m_core->limits().idle_timeout);
         const auto failure = co_await read_more(m_socket, m_buffer, read_bytes);
         if (failure)
         {
@@ -182,12 +184,15 @@
 boost::asio::awaitable<std::optional<connection::receive_failure>>
 connection::receive()
 {
-    m_deadline->expires_after(m_core->limits.receive_timeout);
+    const server_limits limits = m_core->limits();
+    const time_point begun = monotonic_clock::now();
+    m_deadline->cancels_after(limits.head_timeout);
+    m_buffer.max_size(limits.header_bytes + early_bytes);
     request_parser parser;
     parser.eager(true);
-    parser.header_limit(
-        static_cast<std::uint32_t>(m_core->limits.header_bytes));
-    parser.body_limit(m_core->limits.body_bytes);
+    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    parser.body_limit(limits.body_bytes);
+    bool has_head = false;
     bool continued = false;
     while (!parser.is_done())
     {
@@ -208,6 +213,12 @@
         {
             break;
         }
+        if (!has_head && parser.is_header_done())
+        {
+            has_head = true;
+            const duration used_up = monotonic_clock::now() - begun;
+            m_deadline->cancels_after(limits.receive_timeout - used_up);
+        }
         if (!continued && parser.is_header_done() && expects_continue(parser))
         {
             continued = true;
@@ -233,7 +244,10 @@
 
 connection::receive_failure connection::read_failure() const
 {
-    // A timeout has closed the socket, so that nothing can be answered.
+    if (m_deadline->has_cancelled())
+    {
+        return {408, reason_of(408)};
+    }
     return {0, "the connection ended within a request"};
 }
 
@@ -242,9 +256,9 @@
     constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
     write_parts parts;
     parts[0] = to_buffer(text);
-    co_await write_all(
-        m_socket, *m_deadline, m_core->limits.write_timeout, parts);
-    m_deadline->expires_after(m_core->limits.receive_timeout);
+    const server_limits limits = m_core->limits();
+    co_await write_all(m_socket, *m_deadline, limits.write_timeout, parts);
+    m_deadline->cancels_after(limits.receive_timeout);
 }
 
 boost::asio::awaitable<void> connection::handle()
@@ -418,7 +432,7 @@
         co_return error{error_code::cancelled, "the caller has gone"};
     }
     const write_result result = co_await write_all(
-        m_socket, *m_deadline, m_core->limits.write_timeout, parts);
+        m_socket, *m_deadline, m_core->limits().write_timeout, parts);
     if (!result.failure)
     {
         co_return success();
--- a/libs/http/src/deadline.cpp
+++ b/libs/http/src/deadline.cpp
@@ -10,8 +10,15 @@
 {
 }
 
+void deadline::cancels_after(duration timeout)
+{
+    expires_after(timeout);
+    m_cancels = true;
+}
+
 void deadline::expires_after(duration timeout)
 {
+    m_cancels = false;
     m_when = clock::now() + timeout;
     if (m_when < m_armed_for)
     {
@@ -57,8 +64,15 @@
         arm();
         return;
     }
-    m_passed = true;
     boost::system::error_code ignored;
+    if (m_cancels)
+    {
+        m_has_cancelled = true;
+        m_when = clock::time_point::max();
+        m_socket->cancel(ignored);
+        return;
+    }
+    m_passed = true;
     m_socket->close(ignored);
 }
 
--- a/libs/http/src/deadline.hpp
+++ b/libs/http/src/deadline.hpp
@@ -27,6 +27,8 @@
              boost::asio::ip::tcp::socket& socket);
 
     void expires_after(duration timeout);
+    /// Ends what is under way at the socket, but leaves it open for an answer.
+    void cancels_after(duration timeout);
     void expires_never();
 
     /// Returns whether the socket was closed because the time had passed.
@@ -35,6 +37,12 @@
         return m_passed;
     }
 
+    /// Returns whether an operation was cancelled because the time had passed.
+    bool has_cancelled() const noexcept
+    {
+        return m_has_cancelled;
+    }
+
     /// Ends the use of the socket.
     void detach();
 
@@ -49,7 +57,9 @@
     clock::time_point m_when = clock::time_point::max();
     clock::time_point m_armed_for = clock::time_point::max();
     std::uint64_t m_wait = 0;
+    bool m_cancels = false;
     bool m_passed = false;
+    bool m_has_cancelled = false;
 };
 
 } // namespace limpet::http
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -164,6 +164,11 @@
         return m_listener->endpoint();
     }
 
+    void set_limits(const server_limits& limits) override
+    {
+        m_core->set_limits(limits);
+    }
+
     void wind_down() override
     {
         m_core->winding_down = true;
--- a/libs/http/src/server_core.cpp
+++ b/libs/http/src/server_core.cpp
@@ -24,9 +24,9 @@
 server_core::server_core(const server_limits& bounds,
                          server::handler handler,
                          server::refusal refuse)
-    : limits(bounds),
-      handle(std::move(handler)),
-      m_refuse(std::move(refuse))
+    : handle(std::move(handler)),
+      m_refuse(std::move(refuse)),
+      m_limits(bounds)
 {
 }
 
@@ -36,10 +36,26 @@
     return m_refuse ? m_refuse(status, reason) : plain_refusal(status, reason);
 }
 
+server_limits server_core::limits() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_limits;
+}
+
+void server_core::set_limits(const server_limits& limits)
+{
+    const std::lock_guard lock(m_mutex);
+    const std::size_t connections_before = m_limits.connections;
+    const std::size_t bodies_before = m_limits.total_body_bytes;
+    m_limits = limits;
+    m_limits.connections = connections_before;
+    m_limits.total_body_bytes = bodies_before;
+}
+
 bool server_core::add(const std::shared_ptr<connection>& item)
 {
     const std::lock_guard lock(m_mutex);
-    if (stopping || m_open.size() >= limits.connections)
+    if (stopping || m_open.size() >= m_limits.connections)
     {
         return false;
     }
@@ -83,7 +99,7 @@
 
 bool server_core::reserve_body(std::size_t bytes)
 {
-    if (m_body_bytes.fetch_add(bytes) + bytes <= limits.total_body_bytes)
+    if (m_body_bytes.fetch_add(bytes) + bytes <= limits().total_body_bytes)
     {
         return true;
     }
--- a/libs/http/src/server_core.hpp
+++ b/libs/http/src/server_core.hpp
@@ -51,7 +51,9 @@
     bool begin_refusal();
     void end_refusal();
 
-    const server_limits limits;
+    server_limits limits() const;
+    void set_limits(const server_limits& limits);
+
     const server::handler handle;
     std::atomic<bool> stopping = false;
     /// Whether each answer ends its connection.
@@ -63,6 +65,7 @@
     std::vector<std::shared_ptr<connection>> all() const;
 
     const server::refusal m_refuse;
+    server_limits m_limits;
     std::atomic<std::size_t> m_body_bytes = 0;
     std::atomic<std::size_t> m_refusals = 0;
     mutable std::mutex m_mutex;
--- a/libs/http/test/server_test.cpp
+++ b/libs/http/test/server_test.cpp
@@ -213,12 +213,48 @@
     limits.receive_timeout = milliseconds(20);
     limits.idle_timeout = milliseconds(20);
     serve(echo, limits);
-    for (const char* bytes : {"", "G", "POST / HTTP/1.1\r\nContent-Length: 3"})
+    BOOST_TEST(exchange_raw("") == "");
+    for (const char* bytes : {"G",
+                              "POST / HTTP/1.1\r\nContent-Length: 3",
+                              "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab"})
     {
-        BOOST_TEST(exchange_raw(bytes) == "");
+        const std::string answer = exchange_raw(bytes);
+        BOOST_TEST(answer.starts_with("HTTP/1.1 408 "));
+        BOOST_TEST(answer.find("Connection: close") != std::string::npos);
     }
 }
 
+BOOST_AUTO_TEST_CASE(server_head_must_arrive_sooner_than_the_whole)
+{
+    server_limits limits;
+    limits.head_timeout = milliseconds(20);
+    serve(echo, limits);
+    BOOST_TEST(exchange_raw("G").starts_with("HTTP/1.1 408 "));
+}
+
+BOOST_AUTO_TEST_CASE(server_limits_that_are_replaced_bound_the_next_request)
+{
+    serve(echo);
+    const auto status_of_body = [this](std::size_t size)
+    {
+        const auto result =
+            fetch(make_request("POST", "/", std::string(size, 'x')));
+        return std::get<response>(result).head.status;
+    };
+    BOOST_TEST(status_of_body(1000) == 200U);
+    server_limits limits;
+    limits.body_bytes = 999;
+    listening->set_limits(limits);
+    BOOST_TEST(status_of_body(1000) == 413U);
+    limits.body_bytes = 1000;
+    limits.header_bytes = 100;
+    listening->set_limits(limits);
+    BOOST_TEST(status_of_body(1000) == 200U);
+    BOOST_TEST(
+        exchange_raw("GET /" + std::string(200, 'a') + " HTTP/1.1\r\n\r\n")
+            .starts_with("HTTP/1.1 431 "));
+}
+
 BOOST_AUTO_TEST_CASE(server_caller_that_does_not_read_stops_the_writer)
 {
     server_limits limits;
