limpetctl story, a table of log events held by a test, one form of event names

Cause: on-call engineers joined logs of many processes by hand, the table in OPERATIONS.md had half of the events, and six names had another form.

Tests: story_test.

--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -272,7 +272,7 @@
     catch (const std::exception& failure)
     {
         log_event(log_level::error,
-                  "handler_failed",
+                  "handler.failed",
                   {{"target", m_request.target}, {"reason", failure.what()}});
     }
     m_on_gone = nullptr;
--- a/libs/replica/src/replica_impl.cpp
+++ b/libs/replica/src/replica_impl.cpp
@@ -97,7 +97,7 @@
         return error_of(opened);
     }
     log_event(log_level::info,
-              "storage_opened",
+              "storage.opened",
               {{"folder", m_settings.folder},
                {"incarnation", begin.state.storage.get()},
                {"entries", begin.state.entries.size()},
@@ -236,7 +236,7 @@
     {
         ++m_malformed;
         log_event(log_level::warn,
-                  "replica_message_malformed",
+                  "replica.message_malformed",
                   {{"from", from.get()}, {"count", m_malformed}});
         return;
     }
@@ -352,7 +352,8 @@
     {
         return;
     }
-    log_event(log_level::error, "storage_failed", {{"reason", reason.message}});
+    log_event(
+        log_level::error, "storage.write_failed", {{"reason", reason.message}});
     m_stopped = true;
     m_timer.cancel();
     fail_all(reason);
--- a/libs/standin/src/announcer.cpp
+++ b/libs/standin/src/announcer.cpp
@@ -246,7 +246,7 @@
             co_return true;
         }
         log_event(log_level::warn,
-                  "announcement_failed",
+                  "announcement.failed",
                   {{"server", m_server.id.get()},
                    {"router", http::to_string(m_routers[m_router])},
                    {"status", answer != nullptr ? answer->head.status : 0}});
--- a/libs/standin/src/server_group.cpp
+++ b/libs/standin/src/server_group.cpp
@@ -134,7 +134,7 @@
         server.listen = value_of(opened)->local_endpoint();
         server.run = server.run ? server.run : draw_incarnation();
         log_event(log_level::info,
-                  "backend_server_listens",
+                  "standin.listens",
                   {{"server", server.id.get()},
                    {"incarnation", server.run->get()},
                    {"address", http::to_string(server.listen)}});
--- a/tools/limpetctl/commands.hpp
+++ b/tools/limpetctl/commands.hpp
@@ -61,5 +61,7 @@
 exit_code run_status(session& with);
 exit_code run_new_key(session& with);
 exit_code run_digest(session& with);
+/// Prints what log files say about a request.
+exit_code run_story(session& with);
 
 } // namespace limpet::ctl
--- a/tools/limpetctl/main.cpp
+++ b/tools/limpetctl/main.cpp
@@ -72,6 +72,10 @@
      "",
      "print the digest of a key or token read from input",
      &ctl::run_digest},
+    {"story",
+     "ID FILE...",
+     "print what log files say about a request",
+     &ctl::run_story},
 };
 
 constexpr std::string_view flags_help = R"(
--- /dev/null
+++ b/tools/limpetctl/story_command.cpp
@@ -0,0 +1,59 @@
+#include "session.hpp"
+
+#include <limpet/log_story/story.hpp>
+
+#include <fstream>
+#include <iostream>
+
+namespace limpet::ctl
+{
+
+namespace
+{
+
+/// Reads the lines of a file; false if it cannot be read.
+bool read_lines(const std::string& name, std::vector<log_story::log_line>& into)
+{
+    std::ifstream file(name);
+    for (std::string text; std::getline(file, text);)
+    {
+        if (auto line = log_story::parse_line(text, name))
+        {
+            into.push_back(std::move(*line));
+        }
+    }
+    return file.eof();
+}
+
+} // namespace
+
+exit_code run_story(session& with)
+{
+    if (with.arguments.size() < 2)
+    {
+        return fail(exit_code::usage, "story takes a request's id and files");
+    }
+    std::vector<log_story::log_line> lines;
+    for (std::size_t i = 1; i < with.arguments.size(); ++i)
+    {
+        if (!read_lines(with.arguments[i], lines))
+        {
+            return fail(exit_code::usage,
+                        with.arguments[i] + ": cannot be read");
+        }
+    }
+    const auto story = log_story::tell_story(lines, with.arguments[0]);
+    if (story.empty())
+    {
+        return fail(exit_code::failed,
+                    "no line bears the id " + with.arguments[0]);
+    }
+    for (const log_story::log_line& each : story)
+    {
+        std::cout << each.source << ": "
+                  << each.text.substr(each.text.find("time=")) << "\n";
+    }
+    return exit_code::success;
+}
+
+} // namespace limpet::ctl
