Settings are read again at SIGHUP and when their file changes

The file's time is looked at every 5 s. New seeds are asked as well; what needs a restart is logged; a file that cannot be used is refused and named. SIGHUP is ignored from the first line of main until the handler is there.

Tests: run_test (change without a signal, signal, file being replaced, early signal, which ended the test program before).

--- a/daemons/limpet-control/main.cpp
+++ b/daemons/limpet-control/main.cpp
@@ -18,6 +18,20 @@
 
 using namespace limpet;
 
+/// Lets the replica take over the settings file as it is now.
+void reload(control::control_server& server)
+{
+    const auto settings = control::read_control_settings(FLAGS_settings);
+    if (!is_ok(settings))
+    {
+        log_event(log_level::error,
+                  "settings.refused",
+                  {{"reason", error_of(settings).message}});
+        return;
+    }
+    server.reload(value_of(settings));
+}
+
 int run_control(const control::control_settings& settings)
 {
     open_log("limpet-control", settings.log);
@@ -37,6 +51,11 @@
         return daemon::exit_failed;
     }
     control::control_server& server = *value_of(created);
+    runner.watch_settings(FLAGS_settings,
+                          [&server]
+                          {
+                              reload(server);
+                          });
     return runner.run(
         settings.drain_timeout,
         [&server](std::function<void()> on_drained)
@@ -53,6 +72,7 @@
 
 int main(int argc, char* argv[])
 {
+    daemon::ignore_early_reload();
     gflags::SetUsageMessage(
         "keeps the configuration and claims, replicated and durable.\n"
         "Usage: limpet-control --settings=FILE [--check]\n"
--- a/daemons/limpet-router/main.cpp
+++ b/daemons/limpet-router/main.cpp
@@ -50,6 +50,38 @@
         });
 }
 
+/// Returns the part of the settings for a gateway, or null if the file is for
+/// a router of the project's own interface or cannot be read.
+const boost::json::value*
+find_gateway(const outcome<boost::json::value>& document)
+{
+    if (!is_ok(document) || !value_of(document).is_object())
+    {
+        return nullptr;
+    }
+    return value_of(document).get_object().if_contains("gateway");
+}
+
+/// Lets the gateway take over the settings file as it is now.
+void reload(gateway::gateway& running)
+{
+    const auto document = read_json_file(FLAGS_settings);
+    const auto* part = find_gateway(document);
+    const auto settings =
+        part == nullptr
+            ? outcome<gateway::gateway_settings>(error{
+                  error_code::invalid_argument, "there is no part gateway"})
+            : gateway::parse_gateway_settings(*part);
+    if (!is_ok(settings))
+    {
+        log_event(log_level::error,
+                  "settings.refused",
+                  {{"reason", error_of(settings).message}});
+        return;
+    }
+    running.reload(value_of(settings));
+}
+
 /// Runs on one thread, as the platform's machines have one core or less.
 int run_gateway(const gateway::gateway_settings& settings)
 {
@@ -64,6 +96,11 @@
         return daemon::exit_failed;
     }
     gateway::gateway& running = *value_of(created);
+    runner.watch_settings(FLAGS_settings,
+                          [&running]
+                          {
+                              reload(running);
+                          });
     return runner.run(
         settings.drain_timeout,
         [&running](std::function<void()> on_drained)
@@ -76,18 +113,6 @@
         });
 }
 
-/// Returns the part of the settings for a gateway, or null if the file is for
-/// a router of the project's own interface or cannot be read.
-const boost::json::value*
-find_gateway(const outcome<boost::json::value>& document)
-{
-    if (!is_ok(document) || !value_of(document).is_object())
-    {
-        return nullptr;
-    }
-    return value_of(document).get_object().if_contains("gateway");
-}
-
 int report_bad_settings(const error& reason)
 {
     std::cerr << "limpet-router: " << reason.message << "\n";
@@ -104,6 +129,7 @@
 
 int main(int argc, char* argv[])
 {
+    daemon::ignore_early_reload();
     gflags::SetUsageMessage(
         "stands between callers and model engines.\n"
         "Usage: limpet-router --settings=FILE [--check]\n"
--- a/libs/control/include/limpet/control/control_server.hpp
+++ b/libs/control/include/limpet/control/control_server.hpp
@@ -34,6 +34,10 @@
 
     virtual ~control_server() = default;
 
+    /// Takes over changed settings: new seeds are asked as well. All else needs
+    /// a restart.
+    virtual void reload(const control_settings& settings) = 0;
+
     /// Hands leadership over, syncs and calls back.
     virtual void drain(std::function<void()> on_drained) = 0;
 
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -112,6 +112,24 @@
         return success();
     }
 
+    void reload(const control_settings& settings) override
+    {
+        const bool needs_restart =
+            settings.vm != m_settings.vm ||
+            settings.peers != m_settings.peers ||
+            settings.operators != m_settings.operators ||
+            settings.data_folder != m_settings.data_folder;
+        const bool has_seeds = m_feed && settings.found_by;
+        log_event(needs_restart ? log_level::warn : log_level::info,
+                  "settings.reloaded",
+                  {{"seeds", has_seeds ? settings.found_by->seeds.size() : 0},
+                   {"needs_restart", needs_restart}});
+        if (has_seeds)
+        {
+            add_seeds(settings.found_by->seeds);
+        }
+    }
+
     void drain(std::function<void()> on_drained) override
     {
         m_server->stop_accepting();
@@ -287,6 +305,18 @@
         }
     }
 
+    void add_seeds(const std::vector<net::ip::tcp::endpoint>& seeds)
+    {
+        std::vector<vm_id> vms;
+        for (const auto& seed : seeds)
+        {
+            vms.emplace_back(seed.address().to_string());
+            know_replica(vms.back());
+            m_feed->add_contact(vms.back());
+        }
+        m_replica->learn_contacts(std::move(vms));
+    }
+
     void note_leader()
     {
         const replica::replica_view state = m_replica->view();
--- a/libs/daemon/include/limpet/daemon/run.hpp
+++ b/libs/daemon/include/limpet/daemon/run.hpp
@@ -13,7 +13,10 @@
 
 #include <atomic>
 #include <cstddef>
+#include <filesystem>
 #include <functional>
+#include <string>
+#include <string_view>
 
 namespace limpet::daemon
 {
@@ -27,10 +30,18 @@
 /// A later process of the same VM runs.
 inline constexpr int exit_superseded = 4;
 
+/// Time between two looks at the settings file, which may change without a
+/// signal. Short against the time in which a fleet replaces its VMs.
+inline constexpr duration settings_period = seconds(5);
+
+/// Lets a SIGHUP that comes before a runner exists do nothing; it would end the
+/// process. Call first in main: the settings are read after it.
+void ignore_early_reload();
+
 /// Runs an io_context on several threads until the program has stopped.
 /// SIGTERM or SIGINT starts a graceful shutdown; a second one, or the time
-/// limit, ends it at once. SIGHUP is logged and changes nothing: settings are
-/// read at the start.
+/// limit, ends it at once. SIGHUP, or a change of the settings file, calls the
+/// function given to watch_settings.
 class runner
 {
 public:
@@ -44,12 +55,20 @@
             drain_function drain,
             std::function<void()> close);
 
+    /// Calls the function at each SIGHUP and after each change of the file.
+    /// Call before run.
+    void watch_settings(const std::string& file,
+                        std::function<void()> on_change,
+                        duration period = settings_period);
+
     /// Ends the program at once with the exit code. Thread-safe.
     void stop(int exit_code);
 
 private:
     void wait_for_signal();
     void wait_for_reload();
+    void look_at_settings();
+    void reload(std::string_view cause);
     void on_signal();
     void finish(int exit_code);
 
@@ -59,6 +78,11 @@
     boost::asio::signal_set m_signals;
     boost::asio::signal_set m_reload_signal;
     boost::asio::steady_timer m_limit;
+    boost::asio::steady_timer m_settings_timer;
+    std::string m_settings_file;
+    duration m_settings_period = settings_period;
+    std::function<void()> m_on_settings;
+    std::filesystem::file_time_type m_settings_time;
     duration m_drain_limit{};
     drain_function m_drain;
     std::function<void()> m_close;
--- a/libs/daemon/src/run.cpp
+++ b/libs/daemon/src/run.cpp
@@ -19,13 +19,19 @@
 
 } // namespace
 
+void ignore_early_reload()
+{
+    std::signal(SIGHUP, SIG_IGN);
+}
+
 runner::runner(net::io_context& context, std::size_t threads)
     : m_context(context),
       m_threads(threads),
       m_strand(net::make_strand(context)),
       m_signals(m_strand, SIGTERM, SIGINT),
       m_reload_signal(m_strand, SIGHUP),
-      m_limit(m_strand)
+      m_limit(m_strand),
+      m_settings_timer(m_strand)
 {
 }
 
@@ -83,12 +89,56 @@
         {
             if (!cancelled)
             {
-                log_event(log_level::info, "program.reload", {});
+                reload("signal");
                 wait_for_reload();
             }
         });
 }
 
+void runner::watch_settings(const std::string& file,
+                            std::function<void()> on_change,
+                            duration period)
+{
+    m_settings_file = file;
+    m_settings_period = period;
+    m_on_settings = std::move(on_change);
+    std::error_code ignored;
+    m_settings_time = std::filesystem::last_write_time(file, ignored);
+    look_at_settings();
+}
+
+void runner::look_at_settings()
+{
+    m_settings_timer.expires_after(m_settings_period);
+    m_settings_timer.async_wait(
+        [this](boost::system::error_code cancelled)
+        {
+            if (cancelled || m_finished)
+            {
+                return;
+            }
+            std::error_code failure;
+            const auto changed =
+                std::filesystem::last_write_time(m_settings_file, failure);
+            // A file that is being replaced is looked at again.
+            if (!failure && changed != m_settings_time)
+            {
+                m_settings_time = changed;
+                reload("file changed");
+            }
+            look_at_settings();
+        });
+}
+
+void runner::reload(std::string_view cause)
+{
+    log_event(log_level::info, "program.reload", {{"cause", cause}});
+    if (m_on_settings)
+    {
+        m_on_settings();
+    }
+}
+
 void runner::on_signal()
 {
     if (m_draining)
@@ -126,6 +176,7 @@
     boost::system::error_code ignored;
     m_signals.cancel(ignored);
     m_reload_signal.cancel(ignored);
+    m_settings_timer.cancel();
     m_limit.expires_after(close_time);
     m_limit.async_wait(
         [this](boost::system::error_code)
--- /dev/null
+++ b/libs/daemon/test/run_test.cpp
@@ -0,0 +1,127 @@
+/// Signals and changes of the settings file, on a runner in this process.
+
+#include <limpet/daemon/run.hpp>
+
+#include <boost/asio/post.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <stdlib.h>
+
+using namespace limpet;
+
+namespace
+{
+
+/// A runner that ends once its settings were reloaded.
+struct runner_settings_watched
+{
+    boost::asio::io_context context{1};
+    daemon::runner runner{context, 1};
+    std::string folder = make_folder();
+    std::string file = folder + "/settings.json";
+    int reloads = 0;
+
+    runner_settings_watched()
+    {
+        std::ofstream(file) << "{}";
+        runner.watch_settings(
+            file,
+            [this]
+            {
+                ++reloads;
+                runner.stop(daemon::exit_ok);
+            },
+            milliseconds(5));
+    }
+
+    ~runner_settings_watched()
+    {
+        std::filesystem::remove_all(folder);
+    }
+
+    runner_settings_watched(const runner_settings_watched&) = delete;
+    runner_settings_watched& operator=(const runner_settings_watched&) = delete;
+
+    static std::string make_folder()
+    {
+        std::string path =
+            (std::filesystem::temp_directory_path() / "limpet-XXXXXX").string();
+        BOOST_REQUIRE(::mkdtemp(path.data()) != nullptr);
+        return path;
+    }
+
+    int run()
+    {
+        return runner.run(
+            seconds(1),
+            [](const std::function<void()>& on_drained)
+            {
+                on_drained();
+            },
+            [] {});
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(runners)
+
+BOOST_FIXTURE_TEST_CASE(change_of_the_file_reloads_without_a_signal,
+                        runner_settings_watched)
+{
+    boost::asio::post(context,
+                      [this]
+                      {
+                          std::filesystem::last_write_time(
+                              file,
+                              std::filesystem::last_write_time(file) +
+                                  std::chrono::seconds(1));
+                      });
+    BOOST_TEST(run() == daemon::exit_ok);
+    BOOST_TEST(reloads == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(hangup_reloads, runner_settings_watched)
+{
+    boost::asio::post(context,
+                      []
+                      {
+                          ::raise(SIGHUP);
+                      });
+    BOOST_TEST(run() == daemon::exit_ok);
+    BOOST_TEST(reloads == 1);
+}
+
+BOOST_AUTO_TEST_CASE(hangup_before_the_runner_does_not_end_the_process)
+{
+    daemon::ignore_early_reload();
+    BOOST_TEST(::raise(SIGHUP) == 0);
+    runner_settings_watched later;
+    boost::asio::post(later.context,
+                      []
+                      {
+                          ::raise(SIGHUP);
+                      });
+    BOOST_TEST(later.run() == daemon::exit_ok);
+    BOOST_TEST(later.reloads == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(file_that_is_being_replaced_is_no_change,
+                        runner_settings_watched)
+{
+    std::filesystem::remove(file);
+    boost::asio::steady_timer later(context);
+    later.expires_after(milliseconds(30));
+    later.async_wait(
+        [this](boost::system::error_code)
+        {
+            runner.stop(daemon::exit_failed);
+        });
+    BOOST_TEST(run() == daemon::exit_failed);
+    BOOST_TEST(reloads == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/gateway/include/limpet/gateway/gateway.hpp
+++ b/libs/gateway/include/limpet/gateway/gateway.hpp
@@ -27,6 +27,10 @@
 
     virtual ~gateway() = default;
 
+    /// Takes over changed settings: new seeds are asked as well. All else needs
+    /// a restart, and is logged where it changed.
+    virtual void reload(const gateway_settings& settings) = 0;
+
     /// Says that it takes no connections any more, ends those it has and
     /// calls back when all requests in progress have ended. Call once.
     virtual void drain(std::function<void()> on_drained) = 0;
--- a/libs/gateway/src/directory_client.cpp
+++ b/libs/gateway/src/directory_client.cpp
@@ -78,14 +78,20 @@
         return error_of(hub);
     }
     made->m_hub = value_of(std::move(hub));
-    for (const auto& seed : settings.seeds)
-    {
-        made->add_replica(vm_id(seed.address().to_string()));
-    }
+    made->add_seeds(settings.seeds);
     made->schedule();
     return made;
 }
 
+void directory_client::add_seeds(
+    const std::vector<boost::asio::ip::tcp::endpoint>& seeds)
+{
+    for (const auto& seed : seeds)
+    {
+        add_replica(vm_id(seed.address().to_string()));
+    }
+}
+
 void directory_client::close()
 {
     m_closed = true;
--- a/libs/gateway/src/directory_client.hpp
+++ b/libs/gateway/src/directory_client.hpp
@@ -56,6 +56,9 @@
 
     void close();
 
+    /// Asks the replicas at these operators' addresses as well.
+    void add_seeds(const std::vector<boost::asio::ip::tcp::endpoint>& seeds);
+
     /// Number of replicas heard of lately.
     std::size_t replicas_in_touch() const;
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -93,6 +93,20 @@
         return opened;
     }
 
+    void reload(const gateway_settings& settings) override
+    {
+        const bool needs_restart = settings.vm != m_settings.vm ||
+                                   settings.callers != m_settings.callers ||
+                                   settings.readiness != m_settings.readiness ||
+                                   settings.peers != m_settings.peers ||
+                                   settings.metrics != m_settings.metrics;
+        log_event(needs_restart ? log_level::warn : log_level::info,
+                  "settings.reloaded",
+                  {{"seeds", settings.seeds.size()},
+                   {"needs_restart", needs_restart}});
+        m_directory->add_seeds(settings.seeds);
+    }
+
     void drain(std::function<void()> on_drained) override
     {
         m_draining = true;
--- a/tests/log_events_test.py
+++ b/tests/log_events_test.py
@@ -7,7 +7,7 @@
 import re
 import sys
 
-CALL = re.compile(r'log_event\(\s*log_level::\w+,\s*"([^"]+)"')
+CALL = re.compile(r'log_event\([^";]*"([^"]+)"')
 ROW = re.compile(r"^\| (`[^|]+) \| \w", re.MULTILINE)
 NAME = re.compile(r"`([^`]+)`")
 
