--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -4,6 +4,7 @@
 #include "control_state.hpp"
 #include "directory_feed.hpp"
 #include "follower_reads.hpp"
+#include "group_finder.hpp"
 #include "operator_service.hpp"
 #include "order_desk.hpp"
 #include "replica_metrics.hpp"
@@ -36,16 +37,6 @@
 /// Longest time to connect to a peer. Several round trips between data
 /// centres; a machine without power does not answer at all.
 constexpr duration link_connect_timeout = milliseconds(300);
-/// Time after which a lost voter is replaced by a VM that joined. Longer than
-/// a process takes to start again and catch up.
-constexpr duration lost_voter_timeout = seconds(3);
-
-/// Times of the group where routers learn all from it after a restart: no
-/// router serves before a leader is sure of its lead. The election timeout
-/// bears a lost packet, whose repeat comes after 200 ms, and late heartbeats.
-constexpr duration heartbeat_interval = milliseconds(125);
-constexpr duration election_timeout = milliseconds(500);
-
 class running_server final : public control_server
 {
 public:
@@ -126,7 +117,7 @@
                    {"needs_restart", needs_restart}});
         if (has_seeds)
         {
-            add_seeds(settings.found_by->seeds);
+            m_finder->add_seeds(settings.found_by->seeds, *m_replica, *m_feed);
         }
     }
 
@@ -211,7 +202,8 @@
         }
         if (m_settings.found_by)
         {
-            find_group(settings);
+            m_finder.emplace(m_settings.peers.port(), m_hub);
+            m_finder->name_group(*m_settings.found_by, settings);
         }
         settings.folder = m_settings.data_folder;
         auto opened = replica::replica::open(
@@ -224,38 +216,6 @@
         return success();
     }
 
-    /// Names the VMs that may form the group. Only those that every process
-    /// is told at the first start found it; all others join.
-    void find_group(replica::replica_settings& settings)
-    {
-        settings.group.clear();
-        for (const auto& seed : m_settings.found_by->seeds)
-        {
-            const vm_id vm(seed.address().to_string());
-            settings.group.push_back(vm);
-            know_replica(vm);
-        }
-        const bool is_seed = std::find(settings.group.begin(),
-                                       settings.group.end(),
-                                       m_settings.vm) != settings.group.end();
-        settings.may_found = is_seed && m_settings.found_by->first_start;
-        settings.accepts_any_vm = true;
-        settings.consensus.lost_voter_timeout = lost_voter_timeout;
-        settings.consensus.heartbeat_interval = heartbeat_interval;
-        settings.consensus.election_timeout = election_timeout;
-    }
-
-    /// Replicas are named by their IP number where nobody lists them.
-    void know_replica(const vm_id& vm)
-    {
-        boost::system::error_code failure;
-        const auto ip = net::ip::make_address(vm.get(), failure);
-        if (!failure && vm != m_settings.vm)
-        {
-            m_hub->set_peer(vm, {ip, m_settings.peers.port()});
-        }
-    }
-
     void make_feed()
     {
         feed_callbacks callbacks;
@@ -270,19 +230,11 @@
         };
         callbacks.replicas = [this]
         {
-            std::vector<vm_id> vms;
-            for (const replica::member_view& each : m_replica->view().members)
-            {
-                vms.push_back(each.id.vm);
-            }
-            return vms;
+            return members_of(*m_replica);
         };
         callbacks.on_contacts = [this](std::vector<vm_id> vms)
         {
-            for (const vm_id& vm : vms)
-            {
-                know_replica(vm);
-            }
+            m_finder->know(vms);
             m_replica->learn_contacts(std::move(vms));
         };
         callbacks.on_tick = [this]
@@ -294,27 +246,13 @@
             m_hub,
             m_settings.found_by->sign_of_life_period,
             std::move(callbacks));
-        for (const auto& seed : m_settings.found_by->seeds)
-        {
-            m_feed->add_contact(vm_id(seed.address().to_string()));
-        }
-        for (const replica::member_view& each : m_replica->view().members)
-        {
-            know_replica(each.id.vm);
-            m_feed->add_contact(each.id.vm);
-        }
-    }
-
-    void add_seeds(const std::vector<net::ip::tcp::endpoint>& seeds)
-    {
-        std::vector<vm_id> vms;
-        for (const auto& seed : seeds)
+        m_finder->add_seeds(m_settings.found_by->seeds, *m_replica, *m_feed);
+        const std::vector<vm_id> members = members_of(*m_replica);
+        m_finder->know(members);
+        for (const vm_id& each : members)
         {
-            vms.emplace_back(seed.address().to_string());
-            know_replica(vms.back());
-            m_feed->add_contact(vms.back());
+            m_feed->add_contact(each);
         }
-        m_replica->learn_contacts(std::move(vms));
     }
 
     void note_leader()
@@ -522,6 +460,8 @@
     std::shared_ptr<wire::link_hub> m_hub;
     std::unique_ptr<replica::replica> m_replica;
     std::unique_ptr<config_source> m_source;
+    /// Where nobody lists the group's members.
+    std::optional<group_finder> m_finder;
     std::unique_ptr<directory_feed> m_feed;
     std::unique_ptr<claims_service> m_claims;
     std::unique_ptr<follower_reads> m_reads;
