Requests that wait for room share it evenly over tenants

Cause: the queue was by rank and then by arrival, so that one tenant's surge made all others wait behind it. Places now carry a start-time tag of fair queueing: a tenant's next request takes its turn after what it has taken, by cost (a request, and one more for each 4,096 prompt tokens); an idle queue forgets.

Tests: room_queue_test (a surge of 20 held up the others' two requests before).

--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -31,6 +31,9 @@
 /// Part of the route's objective that a request may wait for room. The rest
 /// is what a server takes to begin.
 constexpr int objective_parts_waited = 2;
+/// Prompt tokens whose reading takes a server about as long as the rest of an
+/// ordinary request.
+constexpr double tokens_per_cost = 4096;
 /// Servers that could not be reached before a request is refused.
 constexpr unsigned max_unreached = 4;
 /// Time before the deadline at which a try is given up, so that the final
@@ -111,7 +114,9 @@
          !m_shared.plan && !m_shared.is_ending && !m_gone && now < until;
          now = monotonic_clock::now())
     {
-        co_await m_shared.queue.wait({}, 0, until - now);
+        waiting_request nobody_in_particular;
+        co_await m_shared.queue.wait(std::move(nobody_in_particular),
+                                     until - now);
     }
     m_plan = m_shared.plan;
     m_waited = monotonic_clock::now() - m_arrived;
@@ -201,7 +206,14 @@
             co_return is_full ? refusal_cause::no_room
                               : refusal_cause::no_server;
         }
-        co_await m_shared.queue.wait(m_query.service, m_rank, until - now);
+        // Named, as GCC 12 destroys aggregates within an awaited expression
+        // twice.
+        waiting_request who{m_query.service,
+                            m_rank,
+                            m_tenant == nullptr ? std::string()
+                                                : m_tenant->name,
+                            1 + m_query.prompt_tokens / tokens_per_cost};
+        co_await m_shared.queue.wait(std::move(who), until - now);
     }
 }
 
--- a/libs/gateway/src/room_queue.cpp
+++ b/libs/gateway/src/room_queue.cpp
@@ -11,26 +11,47 @@
 
 namespace net = boost::asio;
 
-net::awaitable<void>
-room_queue::wait(std::string service, unsigned rank, duration longest)
+net::awaitable<void> room_queue::wait(waiting_request who, duration longest)
 {
     net::steady_timer timer(co_await net::this_coro::executor);
     timer.expires_after(longest);
-    const place mine{std::move(service), rank, m_next++};
+    const place mine = take_place(who);
     m_waiting[mine] = &timer;
     boost::system::error_code ignored;
     co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
-    m_waiting.erase(mine);
+    leave(mine);
+}
+
+room_queue::place room_queue::take_place(const waiting_request& who)
+{
+    turns& service = m_turns[who.service];
+    double& next = service.next[who.tenant];
+    const double turn = std::max(service.now, next);
+    next = turn + who.cost;
+    return {who.service, who.rank, turn, m_next++};
+}
+
+void room_queue::leave(const place& from)
+{
+    m_waiting.erase(from);
+    const auto first = m_waiting.lower_bound({from.service, 0, 0, 0});
+    if (first == m_waiting.end() || first->first.service != from.service)
+    {
+        m_turns.erase(from.service);
+    }
 }
 
 void room_queue::wake(const std::string& service)
 {
-    const auto first = m_waiting.lower_bound({service, 0, 0});
-    if (first != m_waiting.end() && first->first.service == service)
+    const auto first = m_waiting.lower_bound({service, 0, 0, 0});
+    if (first == m_waiting.end() || first->first.service != service)
     {
-        first->second->cancel();
-        m_waiting.erase(first);
+        return;
     }
+    turns& known = m_turns[service];
+    known.now = std::max(known.now, first->first.turn);
+    first->second->cancel();
+    m_waiting.erase(first);
 }
 
 void room_queue::wake_all()
