--- a/libs/consensus/test/node_test.cpp
+++ b/libs/consensus/test/node_test.cpp
@@ -67,6 +67,28 @@
         group->restart(vm);
     }
 
+    /// Machines that start again do not tick at the same moments.
+    void restart_all_but(std::size_t spared)
+    {
+        for (std::size_t vm = 0; vm < group->size(); ++vm)
+        {
+            if (vm != spared)
+            {
+                group->restart(vm);
+                group->run_for(milliseconds(7));
+            }
+        }
+    }
+
+    bool is_led_within(duration limit)
+    {
+        const auto is_led = [this]
+        {
+            return group->leader().has_value();
+        };
+        return group->run_until(is_led, limit);
+    }
+
     term_number term() const
     {
         return group->view(leader()).term;
@@ -102,18 +124,9 @@
         start(seed);
         propose(5);
         group->run_for(seconds(1));
-        for (std::size_t vm = 0; vm < group->size(); ++vm)
-        {
-            group->restart(vm);
-            // Machines do not tick at the same moments.
-            group->run_for(milliseconds(7));
-        }
-        const auto is_led = [this]
-        {
-            return group->leader().has_value();
-        };
+        restart_all_but(group->size());
         // Promises bind for 300 ms.
-        BOOST_TEST(group->run_until(is_led, milliseconds(250)));
+        BOOST_TEST(is_led_within(milliseconds(250)));
         check();
         settle();
     }
@@ -127,19 +140,8 @@
         propose(5);
         group->run_for(seconds(1));
         wipe(seed % group->size());
-        for (std::size_t vm = 0; vm < group->size(); ++vm)
-        {
-            if (vm != seed % group->size())
-            {
-                group->restart(vm);
-                group->run_for(milliseconds(7));
-            }
-        }
-        const auto is_led = [this]
-        {
-            return group->leader().has_value();
-        };
-        BOOST_TEST(group->run_until(is_led, milliseconds(250)));
+        restart_all_but(seed % group->size());
+        BOOST_TEST(is_led_within(milliseconds(250)));
         check();
         settle();
     }
@@ -152,19 +154,8 @@
         start(seed);
         propose(5);
         group->run_for(seconds(1));
-        const std::size_t spared = follower();
-        for (std::size_t vm = 0; vm < group->size(); ++vm)
-        {
-            if (vm != spared)
-            {
-                group->restart(vm);
-            }
-        }
-        const auto is_led = [this]
-        {
-            return group->leader().has_value();
-        };
-        BOOST_TEST(!group->run_until(is_led, milliseconds(200)));
+        restart_all_but(follower());
+        BOOST_TEST(!is_led_within(milliseconds(200)));
         check();
         settle();
     }
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -14,6 +14,7 @@
 #include <limpet/base/log.hpp>
 #include <limpet/control/control_server.hpp>
 #include <limpet/http/endpoint.hpp>
+#include <limpet/http/metrics_server.hpp>
 #include <limpet/http/server.hpp>
 #include <limpet/replica/replica.hpp>
 #include <limpet/wire/link_hub.hpp>
@@ -326,18 +327,12 @@
 
     status open_metrics()
     {
-        auto opened = http::server::listen(
-            m_context,
-            *m_settings.metrics,
-            {},
-            [this](http::exchange& caller) -> net::awaitable<void>
-            {
-                http::response answer;
-                answer.head.headers.set("Content-Type",
-                                        "text/plain; version=0.0.4");
-                answer.body = to_text(figures());
-                co_await caller.respond(std::move(answer));
-            });
+        auto opened = http::listen_for_metrics(m_context,
+                                               *m_settings.metrics,
+                                               [this]
+                                               {
+                                                   return to_text(figures());
+                                               });
         if (!is_ok(opened))
         {
             return error_of(opened);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -4,6 +4,7 @@
 
 #include <limpet/base/log.hpp>
 #include <limpet/gateway/gateway.hpp>
+#include <limpet/http/metrics_server.hpp>
 #include <limpet/http/server.hpp>
 
 #include <boost/asio/steady_timer.hpp>
@@ -243,18 +244,12 @@
 
     status open_metrics()
     {
-        auto opened = http::server::listen(
-            m_context,
-            *m_settings.metrics,
-            {},
-            [this](http::exchange& caller) -> net::awaitable<void>
-            {
-                http::response answer;
-                answer.head.headers.set("Content-Type",
-                                        "text/plain; version=0.0.4");
-                answer.body = metrics_text();
-                co_await caller.respond(std::move(answer));
-            });
+        auto opened = http::listen_for_metrics(m_context,
+                                               *m_settings.metrics,
+                                               [this]
+                                               {
+                                                   return metrics_text();
+                                               });
         if (!is_ok(opened))
         {
             return error_of(opened);
