An idle connection's end does not lose a request read at the same moment

The deadline closed the socket also when its timer and the bytes came in one turn of the event loop. It now only cancels the wait, which a read that has happened survives. Ruled out: the request was not passed on, the router was not ending, no process exited.

--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -170,7 +170,8 @@
         {
             co_return false;
         }
-        m_deadline->expires_after(m_core->limits().idle_timeout);
+        // Closing would lose a request that was read at the same moment.
+        m_deadline->cancels_after(m_core->limits().idle_timeout);
         const auto failure = co_await read_more(m_socket, m_buffer, read_bytes);
         if (failure)
         {
--- a/libs/http/src/deadline.cpp
+++ b/libs/http/src/deadline.cpp
@@ -14,6 +14,7 @@
 {
     expires_after(timeout);
     m_cancels = true;
+    m_has_cancelled = false;
 }
 
 void deadline::expires_after(duration timeout)
