--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,7 +19,7 @@
 sys.path[:0] = [HERE, os.path.join(HERE, "..", "..", "platform", "test")]
 
 import faults  # noqa: E402
-from world import DATA_CENTRES, World  # noqa: E402
+from world import World  # noqa: E402
 
 SIZES = {"replicas": 4, "routers": 4, "servers": 8, "callers": 24}
 REGRESSIONS = os.path.join(HERE, "regressions.txt")
@@ -77,8 +77,6 @@
     folder = tempfile.mkdtemp(prefix="soak-")
     world = World(os.path.abspath(options.binaries), folder, options.net,
                   seed, SIZES)
-    world.wiping = asyncio.Lock()
-    world.data_centres = DATA_CENTRES
     asyncio.run(play(world, options.seconds))
     report(seed, world, folder, options.verbose)
     if not world.record.broken:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -38,6 +38,9 @@
         self.proxies = {"servers": {}, "replicas": {}, "routers": {},
                         "links": {}}
         self.stopping = {}  # router -> when it got SIGTERM
+        # Held while a disk is lost or all replicas are down.
+        self.wiping = asyncio.Lock()
+        self.data_centres = DATA_CENTRES
         self.operator = Operator(self)
         self.tasks = []
 
