Routers log what they assumed of a server's load

request.end carries assumed_load, own_load, reported_load, report_age_ms, mean_load, load_bound and rank of the last try; limpet_gateway_load_* carry the sums.

--- a/libs/gateway/include/limpet/gateway/server_pool.hpp
+++ b/libs/gateway/include/limpet/gateway/server_pool.hpp
@@ -33,6 +33,23 @@
     std::vector<engine_id> excluded;
 };
 
+/// What this router assumed of the servers' load when it selected one.
+struct load_assessment
+{
+    /// Requests assumed at the selected server, and of these this router's.
+    double assumed_load = 0;
+    std::uint32_t own_requests = 0;
+    /// Age of the server's last load report; nothing without a report.
+    std::optional<duration> report_age;
+    /// Mean of the loads assumed at the candidates, and the load above which
+    /// none of them is selected.
+    double mean_load = 0;
+    double load_bound = 0;
+    /// Position of the selected server in the rendezvous order; nothing for a
+    /// request without a prompt.
+    std::optional<std::size_t> rank;
+};
+
 /// A server with capacity for the request.
 struct chosen_server
 {
@@ -42,6 +59,7 @@
     /// parts, where this server's cache may not. A copy costs a fraction of a
     /// prefill.
     std::optional<boost::asio::ip::tcp::endpoint> copy_from;
+    load_assessment assessment;
 };
 
 /// Why no server was selected.
@@ -166,6 +184,11 @@
                      const server_query& query,
                      const std::vector<const server_record*>& order,
                      time_point now) const;
+    load_assessment assess(const server_record& chosen,
+                           double mean_load,
+                           double load_bound,
+                           std::optional<std::size_t> rank,
+                           time_point now) const;
     std::vector<const server_record*>
     rendezvous_order(const server_query& query) const;
     double cost_of(const server_record& each,
--- a/libs/gateway/src/gateway_metrics.cpp
+++ b/libs/gateway/src/gateway_metrics.cpp
@@ -43,6 +43,37 @@
     ++m_services[service].attempt_ends[std::string(end)];
 }
 
+void gateway_metrics::record_load(const std::string& service,
+                                  const load_assessment& assumed,
+                                  std::uint64_t reported)
+{
+    load_metrics& loads = m_services[service].loads;
+    ++loads.responses;
+    loads.without_report += assumed.report_age ? 0 : 1;
+    loads.above_bound +=
+        static_cast<double>(reported) > assumed.load_bound ? 1 : 0;
+    loads.reported += reported;
+    loads.assumed += assumed.assumed_load;
+    loads.assumed_mean += assumed.mean_load;
+}
+
+void gateway_metrics::write_loads(std::ostream& out,
+                                  const std::string& service,
+                                  const load_metrics& loads)
+{
+    const auto line = [&out, &service](std::string_view name, auto value)
+    {
+        out << "limpet_gateway_load_" << name << "{" << service << "} " << value
+            << "\n";
+    };
+    line("responses_total", loads.responses);
+    line("without_report_total", loads.without_report);
+    line("above_bound_total", loads.above_bound);
+    line("reported_sum", loads.reported);
+    line("assumed_sum", loads.assumed);
+    line("assumed_mean_sum", loads.assumed_mean);
+}
+
 std::string gateway_metrics::to_text() const
 {
     std::ostringstream out;
@@ -60,6 +91,10 @@
             out << "limpet_gateway_tries_total{" << service << ","
                 << label("end", end) << "} " << count << "\n";
         }
+        if (each.loads.responses > 0)
+        {
+            write_loads(out, service, each.loads);
+        }
         write_histogram(
             out, "limpet_gateway_wait_seconds", service, each.wait_time);
         write_histogram(out,
--- a/libs/gateway/src/gateway_metrics.hpp
+++ b/libs/gateway/src/gateway_metrics.hpp
@@ -5,8 +5,10 @@
 
 #include <limpet/base/histogram.hpp>
 #include <limpet/base/units.hpp>
+#include <limpet/gateway/server_pool.hpp>
 
 #include <cstdint>
+#include <iosfwd>
 #include <map>
 #include <string>
 #include <string_view>
@@ -38,22 +40,45 @@
 public:
     void record(const request_measurements& request);
     void record_attempt(const std::string& service, std::string_view end);
+    /// Records the load that a server reported, in requests, and what was
+    /// assumed of it when the request was sent there.
+    void record_load(const std::string& service,
+                     const load_assessment& assumed,
+                     std::uint64_t reported);
 
     std::string to_text() const;
 
 private:
+    /// Sums over the responses that reported a load.
+    struct load_metrics
+    {
+        std::uint64_t responses = 0;
+        /// Responses of servers of which no report was known before.
+        std::uint64_t without_report = 0;
+        /// Responses that reported a load above the bound assumed.
+        std::uint64_t above_bound = 0;
+        std::uint64_t reported = 0;
+        double assumed = 0;
+        double assumed_mean = 0;
+    };
+
     struct service_metrics
     {
         histogram wait_time;
         histogram first_byte_time;
         histogram total_time;
         std::uint64_t attempts = 0;
+        load_metrics loads;
         /// Requests by outcome and status.
         std::map<std::pair<std::string, unsigned>, std::uint64_t> outcomes;
         /// Attempts by the way they ended.
         std::map<std::string, std::uint64_t> attempt_ends;
     };
 
+    static void write_loads(std::ostream& out,
+                            const std::string& service,
+                            const load_metrics& loads);
+
     std::map<std::string, service_metrics> m_services;
     std::map<std::string, std::uint64_t> m_tenants;
 };
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -40,6 +40,13 @@
 /// response is sent in time.
 constexpr duration response_margin = milliseconds(20);
 
+/// Returns the value as a log field, "none" without one.
+template <class Number>
+std::string to_log_text(const std::optional<Number>& value)
+{
+    return value ? std::to_string(*value) : "none";
+}
+
 } // namespace
 
 request_handler::request_handler(gateway_state& state, http::exchange& caller)
@@ -299,6 +306,8 @@
 request_handler::attempt(const chosen_server& server)
 {
     m_server = server.id;
+    m_assessment = server.assessment;
+    m_reported_load.reset();
     m_state.pool.on_begin(server.id, m_query, monotonic_clock::now());
     forward_order order;
     order.server = server.id;
@@ -367,6 +376,8 @@
     const duration first = m_first_byte_at == time_point{}
                                ? duration::zero()
                                : m_first_byte_at - m_arrived_at;
+    const auto& reported = m_reported_load;
+    const auto& age = m_assessment.report_age;
     m_state.metrics.record(
         {m_query.service,
          m_tenant == nullptr ? std::string() : m_tenant->name,
@@ -391,6 +402,18 @@
                {"engine", m_server.get()},
                {"tries", m_reached_attempts},
                {"unreached", m_unreached_attempts},
+               {"assumed_load", m_assessment.assumed_load},
+               {"own_load", m_assessment.own_requests},
+               {"reported_load",
+                to_log_text(reported ? std::optional(reported->running +
+                                                     reported->waiting)
+                                     : std::nullopt)},
+               {"report_age_ms",
+                to_log_text(age ? std::optional(to_milliseconds(*age))
+                                : std::nullopt)},
+               {"mean_load", m_assessment.mean_load},
+               {"load_bound", m_assessment.load_bound},
+               {"rank", to_log_text(m_assessment.rank)},
                {"reason", m_last_failure},
                {"waited_ms", to_milliseconds(m_wait_time)},
                {"first_ms", to_milliseconds(first)},
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -104,6 +104,10 @@
     duration m_wait_time{};
     time_point m_first_byte_at{};
     engine_id m_server;
+    /// Of the last attempt: what was assumed of its server, and the load that
+    /// the server reported in its response.
+    load_assessment m_assessment;
+    std::optional<server_load> m_reported_load;
     std::string m_last_failure;
 };
 
--- a/libs/gateway/src/request_handler_response.cpp
+++ b/libs/gateway/src/request_handler_response.cpp
@@ -34,6 +34,11 @@
     const time_point now = monotonic_clock::now();
     if (fields.load)
     {
+        m_reported_load = fields.load;
+        m_state.metrics.record_load(m_query.service,
+                                    server.assessment,
+                                    fields.load->running +
+                                        fields.load->waiting);
         m_state.pool.on_load(server.id, *fields.load, now);
     }
     if (fields.id != m_call.id && !fields.has_not_run)
--- a/libs/gateway/src/server_pool.cpp
+++ b/libs/gateway/src/server_pool.cpp
@@ -240,9 +240,36 @@
     {
         return selection_failure::no_room;
     }
+    const auto best_rank = ranks.find(best);
     return chosen_server{best->registration.id,
                          best->address,
-                         find_copy_source(*best, query, order, now)};
+                         find_copy_source(*best, query, order, now),
+                         assess(*best,
+                                mean,
+                                bound,
+                                best_rank == ranks.end()
+                                    ? std::nullopt
+                                    : std::optional(best_rank->second),
+                                now)};
+}
+
+load_assessment server_pool::assess(const server_record& chosen,
+                                    double mean_load,
+                                    double load_bound,
+                                    std::optional<std::size_t> rank,
+                                    time_point now) const
+{
+    load_assessment result;
+    result.assumed_load = load_of(chosen, now);
+    result.own_requests = chosen.own_requests;
+    if (chosen.load_reported_at != time_point{})
+    {
+        result.report_age = now - chosen.load_reported_at;
+    }
+    result.mean_load = mean_load;
+    result.load_bound = load_bound;
+    result.rank = rank;
+    return result;
 }
 
 std::uint32_t server_pool::requests_in_flight(const std::string& service) const
--- a/libs/gateway/test/server_pool_test.cpp
+++ b/libs/gateway/test/server_pool_test.cpp
@@ -295,6 +295,23 @@
     BOOST_TEST(start_request(plain_query())->get() == "i-0");
 }
 
+BOOST_AUTO_TEST_CASE(selection_tells_the_load_that_it_assumed)
+{
+    const auto first = pool.choose(prompt_query(7, 1), start_time);
+    const auto& unknown = std::get<chosen_server>(first);
+    BOOST_TEST(!unknown.assessment.report_age.has_value());
+    BOOST_TEST((unknown.assessment.rank == std::size_t{0}));
+    pool.on_load(unknown.id, {3, 1, 8}, start_time);
+    const auto second =
+        pool.choose(prompt_query(7, 2), start_time + milliseconds(10));
+    const load_assessment& known = std::get<chosen_server>(second).assessment;
+    BOOST_TEST((known.report_age == duration(milliseconds(10))));
+    BOOST_TEST(known.assumed_load > 3.9);
+    BOOST_TEST(known.mean_load > 3.9 / 6);
+    BOOST_TEST(known.load_bound > 3.9);
+    BOOST_TEST(known.own_requests == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(load_report_decays_slower_with_many_routers)
 {
     pool.set_routers(58);
