Routers exchange the servers' loads by way of the replicas

Cause: each router knew of a server's load only what the server told it in responses. 62 routers with 850 requests/s over 126 servers hear of a server every 9 s each, so a router sent to an overloaded server assuming 1.5 requests where there were 9.8, 25 routers in turn, each being told too late. Ruled out: a bound that is too high after the outage (the assumed mean was half of the true one), and servers that just started as the main part (4 of 91).

Now a router sends what it was told every 250 ms to one replica, of its own data centre if possible; the replicas tell each other and their routers. A receiver gets only what changed by two requests or is a second old, the most loaded servers first and 128 at a time, so it stays within 6 KB/s. Without replicas in touch routers are where they were.

--- a/libs/control/src/directory_feed.cpp
+++ b/libs/control/src/directory_feed.cpp
@@ -41,19 +41,27 @@
                 [this]
                 {
                     return live_replicas();
-                }})
+                }}),
+      m_loads(context,
+              m_hub,
+              [this]
+              {
+                  return live_replicas();
+              })
 {
 }
 
 void directory_feed::start()
 {
     schedule();
+    m_loads.start();
 }
 
 void directory_feed::stop()
 {
     m_stopped = true;
     m_timer.cancel();
+    m_loads.stop();
 }
 
 void directory_feed::schedule()
@@ -122,6 +130,11 @@
         return;
     }
     const directory::update& frame = value_of(decoded);
+    if (frame.exchanges_loads)
+    {
+        m_loads.receive(from.vm, frame);
+        return;
+    }
     if (!frame.is_router)
     {
         m_replicas_heard_at[from.vm] = monotonic_clock::now();
--- a/libs/control/src/directory_feed.hpp
+++ b/libs/control/src/directory_feed.hpp
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "load_feed.hpp"
 #include "order_feed.hpp"
 
 #include <limpet/directory/update.hpp>
@@ -114,6 +115,7 @@
     directory::registration_table m_table;
     std::map<vm_id, subscriber> m_subscribers;
     order_feed m_orders;
+    load_feed m_loads;
     /// Time of the last update from each other replica.
     std::map<vm_id, time_point> m_replicas_heard_at;
     std::vector<vm_id> m_contacts;
--- a/libs/directory/src/update.cpp
+++ b/libs/directory/src/update.cpp
@@ -72,6 +72,59 @@
     return out;
 }
 
+/// Columns of the load reports, as they are on the wire.
+struct load_columns
+{
+    std::vector<std::uint64_t> servers;
+    std::vector<std::uint16_t> requests;
+    std::vector<std::uint16_t> ages_ms;
+};
+
+std::uint16_t saturate(std::uint32_t value)
+{
+    return static_cast<std::uint16_t>(
+        std::min<std::uint32_t>(value, UINT16_MAX));
+}
+
+load_columns to_columns(const std::vector<load_report>& loads, time_point now)
+{
+    load_columns columns;
+    for (const load_report& each : loads)
+    {
+        columns.servers.push_back(each.server);
+        columns.requests.push_back(saturate(each.requests));
+        columns.ages_ms.push_back(
+            saturate(to_wire_milliseconds(now - each.measured_at)));
+    }
+    return columns;
+}
+
+template <class T>
+std::size_t size_of(const flatbuffers::Vector<T>* list)
+{
+    return list == nullptr ? 0 : list->size();
+}
+
+outcome<std::vector<load_report>> read_loads(const fb::update& from,
+                                             time_point now)
+{
+    const std::size_t count = size_of(from.load_servers());
+    if (size_of(from.load_requests()) != count ||
+        size_of(from.load_ages_ms()) != count)
+    {
+        return error{error_code::malformed, "load lists of unequal length"};
+    }
+    std::vector<load_report> loads;
+    loads.reserve(count);
+    for (flatbuffers::uoffset_t i = 0; i < count; ++i)
+    {
+        loads.push_back({from.load_servers()->Get(i),
+                         from.load_requests()->Get(i),
+                         now - milliseconds(from.load_ages_ms()->Get(i))});
+    }
+    return loads;
+}
+
 outcome<intent> read_intent(const fb::update& from)
 {
     intent out;
@@ -131,6 +184,14 @@
     {
         change = builder.CreateString(from.change->delta);
     }
+    const load_columns loads = to_columns(from.loads, now);
+    const bool has_loads = !from.loads.empty();
+    const auto load_servers =
+        has_loads ? builder.CreateVector(loads.servers) : 0;
+    const auto load_requests =
+        has_loads ? builder.CreateVector(loads.requests) : 0;
+    const auto load_ages_ms =
+        has_loads ? builder.CreateVector(loads.ages_ms) : 0;
     builder.Finish(fb::Createupdate(builder,
                                     from.subscribes,
                                     from.is_router,
@@ -145,7 +206,11 @@
                                     change,
                                     from.change ? from.change->base_index : 0,
                                     from.document_index,
-                                    from.is_sure));
+                                    from.is_sure,
+                                    from.exchanges_loads,
+                                    load_servers,
+                                    load_requests,
+                                    load_ages_ms));
     return bytes_of(builder);
 }
 
@@ -178,6 +243,13 @@
     {
         out.change = document_change{from->base_index(), from->change()->str()};
     }
+    out.exchanges_loads = from->exchanges_loads();
+    auto loads = read_loads(*from, now);
+    if (!is_ok(loads))
+    {
+        return error_of(loads);
+    }
+    out.loads = std::move(value_of(loads));
     if (from->replicas() != nullptr)
     {
         for (const auto* each : *from->replicas())
--- a/libs/gateway/include/limpet/gateway/server_pool.hpp
+++ b/libs/gateway/include/limpet/gateway/server_pool.hpp
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <limpet/directory/load_exchange.hpp>
 #include <limpet/directory/registration.hpp>
 #include <limpet/directory/route_table.hpp>
 #include <limpet/gateway/protocol.hpp>
@@ -83,10 +84,10 @@
 std::string_view to_string(attempt_outcome end) noexcept;
 
 /// Registered servers with the load from this router and the load that they
-/// report. The load from other routers is known only with a delay: a server's
-/// reported load, less this router's own requests at that moment, counts as the
-/// other routers' load until the next report. Takes the time as an argument;
-/// not thread-safe.
+/// report to this or another router. The load from other routers is known only
+/// with a delay: a server's reported load, less this router's own requests at
+/// that moment, counts as the other routers' load until the next report. Takes
+/// the time as an argument; not thread-safe.
 class server_pool
 {
 public:
@@ -112,9 +113,17 @@
     /// Records the end of an attempt.
     void on_end(const engine_id& id, attempt_outcome outcome, time_point now);
 
-    /// Records the load that the server reported.
+    /// Records the load that the server reported to this router.
     void on_load(const engine_id& id, const server_load& load, time_point now);
 
+    /// Records the load that a server reported to another router, unless a
+    /// later report of the server is known.
+    void on_shared_load(const directory::load_report& report);
+
+    /// Returns the last report of each server that reported to this router
+    /// since the previous call.
+    std::vector<directory::load_report> take_load_reports();
+
     /// Returns the number of this router's requests in flight at the servers of
     /// a service.
     std::uint32_t requests_in_flight(const std::string& service) const;
@@ -130,6 +139,9 @@
         directory::registration registration;
         boost::asio::ip::tcp::endpoint address;
         bool has_valid_address = false;
+        /// First registration since the server's start. Reports from before
+        /// concern the server's former incarnation.
+        time_point registered_at{};
         /// This router's requests in flight at the server.
         std::uint32_t own_requests = 0;
         /// Requests of other routers according to the last load report.
@@ -177,6 +189,8 @@
                    const server_query& query,
                    time_point now) const;
     bool has_cold_capacity(server_record& each, time_point now);
+    static void
+    record_load(server_record& each, double reported, time_point measured_at);
     double load_of(const server_record& each, time_point now) const;
     double capacity_of(const server_record& each) const;
     std::optional<boost::asio::ip::tcp::endpoint>
@@ -198,6 +212,10 @@
 
     data_centre_id m_home;
     std::map<engine_id, server_record> m_servers;
+    /// Ids of the servers by load_key_of.
+    std::unordered_map<std::uint64_t, engine_id> m_ids_by_load_key;
+    /// Reports for take_load_reports, by server.
+    std::map<std::uint64_t, directory::load_report> m_untaken_reports;
     std::shared_ptr<const directory::route_table> m_plan;
     std::set<std::string> m_taken_out;
     std::uint32_t m_routers = 1;
--- a/libs/gateway/src/directory_client.cpp
+++ b/libs/gateway/src/directory_client.cpp
@@ -1,5 +1,6 @@
 #include "directory_client.hpp"
 
+#include <limpet/base/hash.hpp>
 #include <limpet/base/log.hpp>
 #include <limpet/http/endpoint.hpp>
 
@@ -36,9 +37,12 @@
 } // namespace
 
 directory_client::directory_client(boost::asio::io_context& context,
+                                   data_centre_id home,
                                    directory_callbacks callbacks)
     : m_timer(context),
-      m_callbacks(std::move(callbacks))
+      m_load_timer(context),
+      m_callbacks(std::move(callbacks)),
+      m_home(std::move(home))
 {
 }
 
@@ -47,8 +51,8 @@
                          const gateway_settings& settings,
                          directory_callbacks callbacks)
 {
-    auto client =
-        std::make_unique<directory_client>(context, std::move(callbacks));
+    auto client = std::make_unique<directory_client>(
+        context, settings.data_centre, std::move(callbacks));
     directory_client* self = client.get();
     wire::link_handlers handlers;
     handlers.on_frame = [self](const wire::link_identity& from,
@@ -57,7 +61,7 @@
     {
         if (kind == wire::channel::directory)
         {
-            self->receive(from.vm, payload);
+            self->receive(from, payload);
         }
     };
     handlers.on_lost = [](const vm_id& peer)
@@ -81,6 +85,7 @@
     client->m_hub = value_of(std::move(hub));
     client->add_seeds(settings.seeds);
     client->schedule();
+    client->schedule_load_exchange();
     return client;
 }
 
@@ -97,6 +102,7 @@
 {
     m_closed = true;
     m_timer.cancel();
+    m_load_timer.cancel();
     m_hub->close();
 }
 
@@ -137,6 +143,11 @@
     update.is_router = true;
     update.intent_index = m_in_force_index;
     update.document_index = m_needs_full_document ? 0 : m_orders.index;
+    send(vm, update);
+}
+
+void directory_client::send(const vm_id& vm, const directory::update& update)
+{
     const status sent = m_hub->send(
         vm, wire::channel::directory, encode(update, monotonic_clock::now()));
     if (!is_ok(sent))
@@ -178,28 +189,87 @@
     }
 }
 
-void directory_client::receive(const vm_id& from, std::string_view payload)
+void directory_client::schedule_load_exchange()
 {
-    const time_point now = monotonic_clock::now();
-    const auto decoded = directory::decode_update(payload, now);
-    if (!is_ok(decoded))
+    m_load_timer.expires_after(directory::load_exchange_period);
+    m_load_timer.async_wait(
+        [this](boost::system::error_code cancelled)
+        {
+            if (!cancelled && !m_closed)
+            {
+                send_loads();
+                schedule_load_exchange();
+            }
+        });
+}
+
+const vm_id* directory_client::find_load_relay() const
+{
+    const std::uint64_t self = stable_hash(m_hub->self().vm.get());
+    const vm_id* best = nullptr;
+    std::pair<bool, std::uint64_t> best_rank;
+    for (const auto& [vm, each] : m_replicas)
+    {
+        const std::pair rank(each.data_centre == m_home,
+                             combine_hashes(self, stable_hash(vm.get())));
+        if (each.is_live && (best == nullptr || rank > best_rank))
+        {
+            best = &vm;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+void directory_client::send_loads()
+{
+    const vm_id* relay = find_load_relay();
+    if (relay == nullptr)
     {
-        log_event(log_level::warn, "frame.malformed", {{"peer", from.get()}});
         return;
     }
-    const directory::update& update = value_of(decoded);
-    add_replica(from);
-    replica& sender = m_replicas[from];
-    sender.heard_at = now;
-    if (!sender.is_live)
+    directory::update update;
+    update.is_router = true;
+    update.exchanges_loads = true;
+    update.loads = m_callbacks.take_load_reports();
+    send(*relay, update);
+}
+
+void directory_client::record_sign_of_life(const wire::link_identity& sender,
+                                           const directory::update& update)
+{
+    add_replica(sender.vm);
+    replica& known = m_replicas[sender.vm];
+    known.data_centre = sender.data_centre;
+    known.heard_at = monotonic_clock::now();
+    if (!known.is_live)
     {
-        sender.is_live = true;
+        known.is_live = true;
         log_event(log_level::info,
                   "replica.in_touch",
-                  {{"replica", from.get()},
+                  {{"replica", sender.vm.get()},
                    {"orders", update.intent_index},
                    {"servers", update.registrations.size()}});
     }
+}
+
+void directory_client::receive(const wire::link_identity& sender,
+                               std::string_view payload)
+{
+    const vm_id& from = sender.vm;
+    const auto decoded =
+        directory::decode_update(payload, monotonic_clock::now());
+    if (!is_ok(decoded))
+    {
+        log_event(log_level::warn, "frame.malformed", {{"peer", from.get()}});
+        return;
+    }
+    const directory::update& update = value_of(decoded);
+    record_sign_of_life(sender, update);
+    for (const directory::load_report& each : update.loads)
+    {
+        m_callbacks.on_load_report(each);
+    }
     for (const vm_id& each : update.replicas)
     {
         add_replica(each);
--- a/libs/gateway/src/directory_client.hpp
+++ b/libs/gateway/src/directory_client.hpp
@@ -41,6 +41,11 @@
     /// Called once after one or more registrations changed.
     std::function<void()> on_servers_changed;
     std::function<void(std::uint32_t)> on_routers;
+    /// Returns the loads that servers reported to this gateway since the
+    /// previous call.
+    std::function<std::vector<directory::load_report>()> take_load_reports;
+    /// Called for each load that a server reported to another gateway.
+    std::function<void(const directory::load_report&)> on_load_report;
 };
 
 /// Subscribes to every control replica that it discovers and merges their
@@ -54,7 +59,9 @@
            const gateway_settings& settings,
            directory_callbacks callbacks);
 
+    /// `home` is this gateway's data centre.
     directory_client(boost::asio::io_context& context,
+                     data_centre_id home,
                      directory_callbacks callbacks);
 
     void close();
@@ -68,12 +75,15 @@
 private:
     struct replica
     {
+        data_centre_id data_centre;
         time_point heard_at{};
         bool is_live = false;
     };
 
     void add_replica(const vm_id& vm);
-    void receive(const vm_id& from, std::string_view payload);
+    void receive(const wire::link_identity& sender, std::string_view payload);
+    void record_sign_of_life(const wire::link_identity& sender,
+                             const directory::update& update);
     void merge_registrations(const vm_id& from,
                              const directory::update& update);
     void apply_orders(const directory::update& update);
@@ -87,10 +97,19 @@
     void on_timer();
     void schedule();
     void subscribe(const vm_id& vm);
+    void schedule_load_exchange();
+    void send_loads();
+    /// Returns the replica with which this gateway exchanges loads: a live one,
+    /// if possible of the same data centre. Spreads the gateways evenly over
+    /// the replicas.
+    const vm_id* find_load_relay() const;
+    void send(const vm_id& vm, const directory::update& update);
 
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_load_timer;
     directory_callbacks m_callbacks;
     std::shared_ptr<wire::link_hub> m_hub;
+    data_centre_id m_home;
     std::map<vm_id, replica> m_replicas;
     directory::registration_table m_table;
     /// Number of the last table change for which the callback was called.
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -176,6 +176,14 @@
         {
             m_state.pool.set_routers(count);
         };
+        callbacks.take_load_reports = [this]
+        {
+            return m_state.pool.take_load_reports();
+        };
+        callbacks.on_load_report = [this](const directory::load_report& report)
+        {
+            m_state.pool.on_shared_load(report);
+        };
         auto opened = directory_client::listen(
             m_context, m_settings, std::move(callbacks));
         if (!is_ok(opened))
--- a/libs/gateway/src/server_pool.cpp
+++ b/libs/gateway/src/server_pool.cpp
@@ -13,11 +13,6 @@
 namespace
 {
 
-/// Half-life of a load report's weight, about the length of a short request. It
-/// grows in proportion to the number of routers above the reference number,
-/// since each router then receives reports of a server less often.
-constexpr duration load_report_half_life = seconds(1);
-constexpr std::uint32_t half_life_reference_routers = 9;
 /// Cost of a failure rate of 1, in requests.
 constexpr double failure_rate_cost = 12;
 /// Slots assumed for a server that does not report them.
@@ -42,14 +37,6 @@
 /// the servers at the first ranks are often warm.
 constexpr std::array<double, 5> uncached_by_rank = {0, 0.3, 0.6, 0.8, 1};
 
-double load_report_weight(duration age, std::uint32_t routers)
-{
-    const double scale = std::max(
-        1.0, static_cast<double>(routers) / half_life_reference_routers);
-    return std::exp2(-to_seconds(age) /
-                     (scale * to_seconds(load_report_half_life)));
-}
-
 } // namespace
 
 server_pool::server_pool(data_centre_id home)
@@ -133,13 +120,6 @@
                : default_slots;
 }
 
-double server_pool::load_of(const server_record& each, time_point now) const
-{
-    return each.own_requests +
-           each.other_routers_requests *
-               load_report_weight(now - each.load_reported_at, m_routers);
-}
-
 /// Refills the server's cold-start token bucket and returns whether it holds a
 /// token. Each router gets an equal share of the service's cold rate.
 bool server_pool::has_cold_capacity(server_record& each, time_point now)
--- a/libs/gateway/src/server_pool_events.cpp
+++ b/libs/gateway/src/server_pool_events.cpp
@@ -69,6 +69,12 @@
         const std::uint32_t own_requests = server.own_requests;
         server = server_record{};
         server.own_requests = own_requests;
+        server.registered_at = registration.heard_at;
+    }
+    if (server.registration.id != registration.id)
+    {
+        m_ids_by_load_key[directory::load_key_of(registration.id)] =
+            registration.id;
     }
     server.registration = registration;
     server.has_valid_address = is_ok(address);
@@ -190,19 +196,4 @@
     }
 }
 
-void server_pool::on_load(const engine_id& id,
-                          const server_load& load,
-                          time_point now)
-{
-    const auto found = m_servers.find(id);
-    if (found == m_servers.end())
-    {
-        return;
-    }
-    server_record& each = found->second;
-    const double reported = load.running + load.waiting;
-    each.other_routers_requests = std::max(0.0, reported - each.own_requests);
-    each.load_reported_at = now;
-}
-
 } // namespace limpet::gateway
--- a/libs/gateway/test/directory_client_test.cpp
+++ b/libs/gateway/test/directory_client_test.cpp
@@ -39,6 +39,10 @@
     std::vector<std::string> changed;
     /// Document indexes that the client confirmed to the replica.
     std::vector<std::uint64_t> confirmed;
+    /// Loads that the client reported to the replica, by frame.
+    std::vector<std::vector<directory::load_report>> loads_at_replica;
+    /// Loads for which the client called on_load_report.
+    std::vector<directory::load_report> loads_at_client;
     /// Whether the replica marks its orders as the newest.
     bool is_sure = true;
     std::shared_ptr<wire::link_hub> replica = open_replica();
@@ -78,6 +82,11 @@
             const auto update =
                 directory::decode_update(payload, monotonic_clock::now());
             BOOST_REQUIRE(is_ok(update));
+            if (value_of(update).exchanges_loads)
+            {
+                loads_at_replica.push_back(value_of(update).loads);
+                return;
+            }
             confirmed.push_back(value_of(update).document_index);
         };
         handlers.on_lost = [](const vm_id&) {};
@@ -110,6 +119,15 @@
         };
         callbacks.on_servers_changed = [] {};
         callbacks.on_routers = [](std::uint32_t) {};
+        callbacks.take_load_reports = []
+        {
+            return std::vector<directory::load_report>{
+                {7, 5, monotonic_clock::now()}};
+        };
+        callbacks.on_load_report = [this](const directory::load_report& report)
+        {
+            loads_at_client.push_back(report);
+        };
         auto opened =
             directory_client::listen(context, settings, std::move(callbacks));
         BOOST_REQUIRE(is_ok(opened));
@@ -282,4 +300,22 @@
     BOOST_TEST(applied.size() == 2U);
 }
 
+BOOST_FIXTURE_TEST_CASE(loads_are_exchanged_with_a_replica_in_touch,
+                        client_and_replica)
+{
+    directory::update update;
+    update.exchanges_loads = true;
+    update.loads = {{9, 3, monotonic_clock::now()}};
+    send_update(update);
+    run_until(
+        [this]
+        {
+            return !loads_at_client.empty() && !loads_at_replica.empty();
+        });
+    BOOST_TEST(loads_at_client[0].server == 9U);
+    BOOST_TEST(loads_at_client[0].requests == 3U);
+    BOOST_REQUIRE(loads_at_replica[0].size() == 1U);
+    BOOST_TEST(loads_at_replica[0][0].server == 7U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/gateway/test/server_pool_test.cpp
+++ b/libs/gateway/test/server_pool_test.cpp
@@ -295,6 +295,43 @@
     BOOST_TEST(start_request(plain_query())->get() == "i-0");
 }
 
+BOOST_AUTO_TEST_CASE(load_reported_to_another_router_counts)
+{
+    pool_of_servers other;
+    for (int i = 1; i < 6; ++i)
+    {
+        other.pool.on_load(
+            engine_id("i-" + std::to_string(i)), {6, 0, 8}, start_time);
+    }
+    for (const auto& each : other.pool.take_load_reports())
+    {
+        pool.on_shared_load(each);
+    }
+    BOOST_TEST(other.pool.take_load_reports().empty());
+    BOOST_TEST(start_request(plain_query())->get() == "i-0");
+    BOOST_TEST(start_request(plain_query())->get() == "i-0");
+}
+
+BOOST_AUTO_TEST_CASE(shared_load_of_before_the_known_one_is_ignored)
+{
+    const std::uint64_t key = directory::load_key_of(engine_id("i-0"));
+    pool.on_load(engine_id("i-0"), {0, 0, 8}, start_time);
+    pool.on_shared_load({key, 8, start_time - milliseconds(1)});
+    BOOST_TEST(start_request(plain_query())->get() == "i-0");
+}
+
+BOOST_AUTO_TEST_CASE(shared_load_of_a_former_incarnation_is_ignored)
+{
+    auto restarted = make_registration(0);
+    restarted.born_ms = 2;
+    restarted.heard_at = start_time + seconds(1);
+    pool.apply(restarted);
+    const std::uint64_t key = directory::load_key_of(engine_id("i-0"));
+    pool.on_shared_load({key, 8, start_time + milliseconds(999)});
+    BOOST_TEST(start_request(plain_query(), start_time + seconds(1))->get() ==
+               "i-0");
+}
+
 BOOST_AUTO_TEST_CASE(selection_tells_the_load_that_it_assumed)
 {
     const auto first = pool.choose(prompt_query(7, 1), start_time);
--- a/libs/gateway/test/shared_servers_test.cpp
+++ b/libs/gateway/test/shared_servers_test.cpp
@@ -45,6 +45,8 @@
 struct simulation_parameters
 {
     std::uint32_t routers = 58;
+    /// Replicas that exchange the servers' loads.
+    std::uint32_t replicas = 5;
     std::uint32_t servers = 90;
     std::uint32_t slots = 64;
     /// Time from the start of a request to the first event of its response,
@@ -87,6 +89,23 @@
             m_pools.back().set_routers(parameters.routers);
         }
         add_servers(parameters.servers);
+        m_replicas.resize(parameters.replicas);
+        for (std::uint32_t i = 0; i < parameters.routers; ++i)
+        {
+            schedule(exchange_phase(),
+                     [this, i]
+                     {
+                         send_loads_of_router(i);
+                     });
+        }
+        for (std::uint32_t i = 0; i < parameters.replicas; ++i)
+        {
+            schedule(exchange_phase(),
+                     [this, i]
+                     {
+                         send_loads_of_replica(i);
+                     });
+        }
     }
 
     void run()
@@ -166,6 +185,53 @@
         }
     }
 
+    time_point exchange_phase()
+    {
+        return start +
+               from_seconds(m_exchange_random.uniform() *
+                            to_seconds(directory::load_exchange_period));
+    }
+
+    /// Each router sends what it was told to one replica.
+    void send_loads_of_router(std::uint32_t router)
+    {
+        schedule(m_now + directory::load_exchange_period,
+                 [this, router]
+                 {
+                     send_loads_of_router(router);
+                 });
+        m_replicas[router % m_replicas.size()].record_from_router(
+            vm_id(std::to_string(router)),
+            m_pools[router].take_load_reports(),
+            m_now);
+    }
+
+    void send_loads_of_replica(std::uint32_t replica)
+    {
+        schedule(m_now + directory::load_exchange_period,
+                 [this, replica]
+                 {
+                     send_loads_of_replica(replica);
+                 });
+        directory::load_exchange& from = m_replicas[replica];
+        from.evict_expired(m_now);
+        const auto own = from.take_for_replicas(m_now);
+        for (directory::load_exchange& each : m_replicas)
+        {
+            if (&each != &from)
+            {
+                each.record_from_replica(own);
+            }
+        }
+        for (const vm_id& router : from.routers(m_now))
+        {
+            for (const auto& each : from.take_for_router(router, m_now))
+            {
+                m_pools[std::stoul(router.get())].on_shared_load(each);
+            }
+        }
+    }
+
     void schedule(time_point at, std::function<void()> action)
     {
         m_events.push({at, std::move(action)});
@@ -276,8 +342,11 @@
 
     const simulation_parameters m_parameters;
     random_source m_random;
+    /// Separate, so that the exchange leaves the requests as they are.
+    random_source m_exchange_random{1};
     time_point m_now = start;
     std::vector<server_pool> m_pools;
+    std::vector<directory::load_exchange> m_replicas;
     std::vector<std::uint32_t> m_running;
     std::vector<double> m_slowness;
     std::priority_queue<event> m_events;
