A prefill counts for more against the load that is now known

Cause: since routers know each other's requests, the difference of two servers' loads is the true one and no longer half of it.

25 tokens in place of 100 count as a request beside it, so that the load acts by the bound alone, as the comment says.

--- a/libs/gateway/src/server_pool.cpp
+++ b/libs/gateway/src/server_pool.cpp
@@ -26,7 +26,7 @@
 /// Prompt tokens whose prefill costs as much as one more concurrent request.
 /// Small, since a prefill stalls all requests of a server: placement follows
 /// the prefix caches, and load takes effect only through the load bound.
-constexpr double prefill_tokens_per_request = 100;
+constexpr double prefill_tokens_per_request = 25;
 /// Cost of a server in another data centre, in requests.
 constexpr double cross_data_centre_cost = 0.3;
 /// Cost of a server that no longer sends heartbeats, in requests.
