The load bound is lower, now that the loads are known

Callers: as before. Cause, the rest of it: the bound of 1.7 times the mean and 3 was set while routers assumed half of the true mean, so it acted at about 0.9 of it. With the true mean it left one request of room below the operators' limit of twice the mean and 3, less than what others send in the 0.1 to 0.3 s until a router knows; and it let a new hot prompt fill its servers one after the other. Now 1.4 times the mean and 3.

--- a/libs/gateway/src/server_pool.cpp
+++ b/libs/gateway/src/server_pool.cpp
@@ -21,7 +21,7 @@
 /// `load_slack` requests are not selected. Stricter than the operators'
 /// definition of overload, since the load from other routers is known only with
 /// a delay.
-constexpr double load_factor = 1.7;
+constexpr double load_factor = 1.4;
 constexpr double load_slack = 3;
 /// Prompt tokens whose prefill costs as much as one more concurrent request.
 /// Small, since a prefill stalls all requests of a server: placement follows
