A message of the load exchange waits for the answer to the last one

Cause: replicas and routers sent a message each 100 ms whatever became of the last. Now the next message waits until the peer answered, or for 500 ms.

Tests: message_waits_for_the_answer_to_the_last_one, own_requests_are_not_told_before_an_answer_is_due.

--- a/libs/directory/include/limpet/directory/load_exchange.hpp
+++ b/libs/directory/include/limpet/directory/load_exchange.hpp
@@ -33,7 +33,7 @@
     void on_lost(const vm_id& peer);
 
     /// Returns the messages to the replicas and to the routers that rely on
-    /// this one.
+    /// this one, as far as they have answered the last ones.
     std::vector<std::pair<vm_id, load_update>>
     take_updates(const std::vector<vm_id>& replicas, time_point now);
 
--- a/libs/directory/include/limpet/directory/load_peer.hpp
+++ b/libs/directory/include/limpet/directory/load_peer.hpp
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -59,13 +60,20 @@
     std::size_t max_counts = 1024;
 };
 
-/// Sends the counts that changed to one peer and applies what it sends. Not
+/// Sends the counts that changed to one peer and applies what it sends. A
+/// message waits until the peer has answered the last one, so that none queue
+/// up before a peer or link that is slow. Takes the time as an argument; not
 /// thread-safe.
 class load_peer
 {
 public:
+    /// Returns whether a message may be sent: the peer has answered the last
+    /// one or has taken so long that one of the two was probably lost.
+    bool may_send(time_point now) const;
+
     /// Returns the next message, and counts it as received by the peer.
-    load_update take(const load_counts& current, const load_limits& limits);
+    load_update
+    take(const load_counts& current, const load_limits& limits, time_point now);
 
     /// Applies a message of the peer.
     void apply(const load_update& update);
@@ -80,6 +88,8 @@
     void on_lost();
 
 private:
+    /// When the last unanswered message was sent; nothing without one.
+    std::optional<time_point> m_unanswered_since;
     load_counts m_sent;
     load_counts m_received;
     bool m_is_reset_due = true;
--- a/libs/directory/src/load_exchange.cpp
+++ b/libs/directory/src/load_exchange.cpp
@@ -6,8 +6,8 @@
 namespace
 {
 
-/// A peer not heard from for this long is forgotten; it sends a message at each
-/// interval.
+/// A peer not heard from for this long is forgotten. It sends a message every
+/// 500 ms at least.
 constexpr duration peer_timeout = seconds(2);
 /// One request more or less changes no selection, and most changes are by one.
 /// At 10 bytes a count and ten messages a second, a router is sent 6.4 KB/s at
@@ -101,17 +101,25 @@
         {
             entry->second.heard_at = now;
         }
-        updates.emplace_back(
-            vm, entry->second.exchanged.take(own_sums, replica_limits));
+        load_peer& exchanged = entry->second.exchanged;
+        if (exchanged.may_send(now))
+        {
+            updates.emplace_back(vm,
+                                 exchanged.take(own_sums, replica_limits, now));
+        }
     }
     load_counts sums = sum_of(m_replicas);
     add(sums, own_sums);
     for (auto& [vm, each] : m_routers)
     {
-        updates.emplace_back(
-            vm,
-            each.exchanged.take(without(sums, each.exchanged.received()),
-                                router_limits));
+        load_peer& exchanged = each.exchanged;
+        if (exchanged.may_send(now))
+        {
+            updates.emplace_back(
+                vm,
+                exchanged.take(
+                    without(sums, exchanged.received()), router_limits, now));
+        }
     }
     return updates;
 }
--- a/libs/directory/src/load_peer.cpp
+++ b/libs/directory/src/load_peer.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 
+/// Five intervals; a peer answers within one and the time on the way.
+constexpr duration answer_timeout = 5 * load_exchange_period;
+
 /// A count that differs from the one that the peer was sent.
 struct count_change
 {
@@ -67,9 +70,16 @@
     return found == counts.end() ? 0 : found->second;
 }
 
+bool load_peer::may_send(time_point now) const
+{
+    return !m_unanswered_since || now >= *m_unanswered_since + answer_timeout;
+}
+
 load_update load_peer::take(const load_counts& current,
-                            const load_limits& limits)
+                            const load_limits& limits,
+                            time_point now)
 {
+    m_unanswered_since = now;
     load_update update;
     update.resets = std::exchange(m_is_reset_due, false);
     update.wants_reset = !m_has_base;
@@ -97,6 +107,7 @@
 
 void load_peer::apply(const load_update& update)
 {
+    m_unanswered_since.reset();
     m_is_reset_due = m_is_reset_due || update.wants_reset;
     m_has_base = m_has_base || update.resets;
     if (!m_has_base)
--- a/libs/directory/test/load_exchange_test.cpp
+++ b/libs/directory/test/load_exchange_test.cpp
@@ -28,8 +28,8 @@
                   const load_counts& at_b,
                   time_point now = start_time)
     {
-        first.record_router(router_a, a.take(at_a, {}), now);
-        second.record_router(router_b, b.take(at_b, {}), now);
+        first.record_router(router_a, a.take(at_a, {}, now), now);
+        second.record_router(router_b, b.take(at_b, {}, now), now);
         for (const auto& [vm, update] : first.take_updates({second_vm}, now))
         {
             vm == router_a ? a.apply(update)
@@ -50,8 +50,9 @@
 BOOST_AUTO_TEST_CASE(only_changed_counts_are_sent)
 {
     load_peer sender;
-    BOOST_TEST(sender.take({{1, 3}, {2, 4}}, {}).changed.size() == 2U);
-    const auto update = sender.take({{1, 3}, {2, 5}}, {});
+    BOOST_TEST(sender.take({{1, 3}, {2, 4}}, {}, start_time).changed.size() ==
+               2U);
+    const auto update = sender.take({{1, 3}, {2, 5}}, {}, start_time);
     BOOST_TEST(!update.resets);
     BOOST_REQUIRE(update.changed.size() == 1U);
     BOOST_TEST(update.changed[0].server == 2U);
@@ -62,11 +63,11 @@
 {
     load_peer sender;
     const load_limits limits{2, 64};
-    BOOST_TEST(sender.take({{1, 3}}, limits).changed.size() == 1U);
-    BOOST_TEST(sender.take({{1, 4}}, limits).changed.empty());
-    BOOST_TEST(sender.take({{1, 5}}, limits).changed.size() == 1U);
-    sender.take({{1, 2}}, limits);
-    const auto ended = sender.take({}, limits);
+    BOOST_TEST(sender.take({{1, 3}}, limits, start_time).changed.size() == 1U);
+    BOOST_TEST(sender.take({{1, 4}}, limits, start_time).changed.empty());
+    BOOST_TEST(sender.take({{1, 5}}, limits, start_time).changed.size() == 1U);
+    sender.take({{1, 2}}, limits, start_time);
+    const auto ended = sender.take({}, limits, start_time);
     BOOST_REQUIRE(ended.changed.size() == 1U);
     BOOST_TEST(ended.changed[0].requests == 0U);
 }
@@ -80,20 +81,31 @@
         counts[i] = i;
     }
     const load_limits limits{1, 64};
-    const auto first = sender.take(counts, limits);
+    const auto first = sender.take(counts, limits, start_time);
     BOOST_REQUIRE(first.changed.size() == 64U);
     BOOST_TEST(first.changed[0].requests == 100U);
-    BOOST_TEST(sender.take(counts, limits).changed.size() == 36U);
+    BOOST_TEST(sender.take(counts, limits, start_time).changed.size() == 36U);
+}
+
+BOOST_AUTO_TEST_CASE(message_waits_for_the_answer_to_the_last_one)
+{
+    load_peer sender;
+    BOOST_TEST(sender.may_send(start_time));
+    sender.take({{1, 3}}, {}, start_time);
+    BOOST_TEST(!sender.may_send(start_time + milliseconds(499)));
+    BOOST_TEST(sender.may_send(start_time + milliseconds(500)));
+    sender.apply({});
+    BOOST_TEST(sender.may_send(start_time));
 }
 
 BOOST_AUTO_TEST_CASE(all_counts_are_sent_anew_after_a_loss)
 {
     load_peer sender;
     load_peer receiver;
-    receiver.apply(sender.take({{1, 3}, {2, 4}}, {}));
-    sender.take({{2, 4}}, {}); // Lost with the link.
+    receiver.apply(sender.take({{1, 3}, {2, 4}}, {}, start_time));
+    sender.take({{2, 4}}, {}, start_time); // Lost with the link.
     sender.on_lost();
-    const auto update = sender.take({{2, 4}}, {});
+    const auto update = sender.take({{2, 4}}, {}, start_time);
     BOOST_TEST(update.resets);
     receiver.apply(update);
     BOOST_TEST((receiver.received() == load_counts{{2, 4}}));
@@ -102,12 +114,12 @@
 BOOST_AUTO_TEST_CASE(receiver_that_starts_anew_gets_all_counts)
 {
     load_peer sender;
-    sender.take({{1, 3}}, {});
+    sender.take({{1, 3}}, {}, start_time);
     load_peer restarted;
-    restarted.apply(sender.take({{1, 3}, {2, 4}}, {}));
+    restarted.apply(sender.take({{1, 3}, {2, 4}}, {}, start_time));
     BOOST_TEST(restarted.received().empty());
-    sender.apply(restarted.take({}, {}));
-    restarted.apply(sender.take({{1, 3}, {2, 4}}, {}));
+    sender.apply(restarted.take({}, {}, start_time));
+    restarted.apply(sender.take({{1, 3}, {2, 4}}, {}, start_time));
     BOOST_TEST((restarted.received() == load_counts{{1, 3}, {2, 4}}));
 }
 
@@ -131,7 +143,7 @@
     for (int i = 1; i <= 3; ++i)
     {
         const time_point now = start_time + i * seconds(1);
-        second.record_router(router_b, b.take({}, {}), now);
+        second.record_router(router_b, b.take({}, {}, now), now);
         for (const auto& [vm, update] : first.take_updates({second_vm}, now))
         {
             second.record_replica(first_vm, update, now);
--- a/libs/gateway/include/limpet/gateway/server_pool.hpp
+++ b/libs/gateway/include/limpet/gateway/server_pool.hpp
@@ -128,8 +128,8 @@
     void on_load(const engine_id& id, const server_load& load, time_point now);
 
     /// Returns the next message to the peer of the exchange: how many requests
-    /// this router has in flight.
-    directory::load_update take_load_update();
+    /// this router has in flight. Returns nothing while an answer is due.
+    std::optional<directory::load_update> take_load_update(time_point now);
 
     /// Applies a message of the peer: how many the other routers have.
     void on_load_update(const directory::load_update& update, time_point now);
--- a/libs/gateway/src/directory_client.cpp
+++ b/libs/gateway/src/directory_client.cpp
@@ -248,7 +248,10 @@
     directory::update update;
     update.is_router = true;
     update.loads = m_callbacks.take_load_update();
-    send(*m_load_relay, update);
+    if (update.loads)
+    {
+        send(*m_load_relay, update);
+    }
 }
 
 void directory_client::record_sign_of_life(const wire::link_identity& sender,
--- a/libs/gateway/src/directory_client.hpp
+++ b/libs/gateway/src/directory_client.hpp
@@ -43,8 +43,8 @@
     std::function<void()> on_servers_changed;
     std::function<void(std::uint32_t)> on_routers;
     /// Returns the next message to the replica with which this gateway
-    /// exchanges loads.
-    std::function<directory::load_update()> take_load_update;
+    /// exchanges loads, or nothing while the replica owes an answer.
+    std::function<std::optional<directory::load_update>()> take_load_update;
     /// Called with each message of that replica.
     std::function<void(const directory::load_update&)> on_load_update;
     /// Called when the link to that replica was lost.
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -178,7 +178,7 @@
         };
         callbacks.take_load_update = [this]
         {
-            return m_state.pool.take_load_update();
+            return m_state.pool.take_load_update(monotonic_clock::now());
         };
         callbacks.on_load_update = [this](const directory::load_update& update)
         {
--- a/libs/gateway/src/server_pool_loads.cpp
+++ b/libs/gateway/src/server_pool_loads.cpp
@@ -88,14 +88,19 @@
     each.load_reported_at = now;
 }
 
-directory::load_update server_pool::take_load_update()
+std::optional<directory::load_update>
+server_pool::take_load_update(time_point now)
 {
+    if (!m_load_peer.may_send(now))
+    {
+        return std::nullopt;
+    }
     directory::load_counts current;
     for (const auto& [id, each] : m_servers)
     {
         directory::set_count(current, {each.load_key, each.own_requests});
     }
-    return m_load_peer.take(current, directory::load_limits{});
+    return m_load_peer.take(current, directory::load_limits{}, now);
 }
 
 void server_pool::on_load_update(const directory::load_update& update,
--- a/libs/gateway/test/directory_client_test.cpp
+++ b/libs/gateway/test/directory_client_test.cpp
@@ -121,7 +121,7 @@
         callbacks.on_routers = [](std::uint32_t) {};
         callbacks.take_load_update = []
         {
-            return directory::load_update{true, true, {{7, 5}}};
+            return std::optional(directory::load_update{true, true, {{7, 5}}});
         };
         callbacks.on_load_update = [this](const directory::load_update& update)
         {
--- a/libs/gateway/test/server_pool_test.cpp
+++ b/libs/gateway/test/server_pool_test.cpp
@@ -317,16 +317,30 @@
 BOOST_AUTO_TEST_CASE(own_requests_are_told_as_they_change)
 {
     const auto id = start_request(plain_query());
-    const auto first = pool.take_load_update();
-    BOOST_TEST(first.resets);
-    BOOST_REQUIRE(first.changed.size() == 1U);
-    BOOST_TEST(first.changed[0].server == directory::load_key_of(*id));
-    BOOST_TEST(first.changed[0].requests == 1U);
-    BOOST_TEST(pool.take_load_update().changed.empty());
+    const auto first = pool.take_load_update(start_time);
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(first->resets);
+    BOOST_REQUIRE(first->changed.size() == 1U);
+    BOOST_TEST(first->changed[0].server == directory::load_key_of(*id));
+    BOOST_TEST(first->changed[0].requests == 1U);
+    pool.on_load_update({}, start_time);
+    BOOST_TEST(pool.take_load_update(start_time)->changed.empty());
+    pool.on_load_update({}, start_time);
     pool.on_end(*id, attempt_outcome::answered, start_time);
-    const auto last = pool.take_load_update();
-    BOOST_REQUIRE(last.changed.size() == 1U);
-    BOOST_TEST(last.changed[0].requests == 0U);
+    const auto last = pool.take_load_update(start_time);
+    BOOST_REQUIRE(last->changed.size() == 1U);
+    BOOST_TEST(last->changed[0].requests == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(own_requests_are_not_told_before_an_answer_is_due)
+{
+    BOOST_TEST(pool.take_load_update(start_time).has_value());
+    const time_point soon = start_time + milliseconds(400);
+    BOOST_TEST(!pool.take_load_update(soon).has_value());
+    pool.on_load_update({}, soon);
+    BOOST_TEST(pool.take_load_update(soon).has_value());
+    // Without an answer again, until it is probably lost.
+    BOOST_TEST(pool.take_load_update(soon + milliseconds(500)).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(reports_of_servers_count_after_the_exchange_ends)
--- a/libs/gateway/test/shared_servers_test.cpp
+++ b/libs/gateway/test/shared_servers_test.cpp
@@ -201,10 +201,11 @@
                  {
                      send_loads_of_router(router);
                  });
-        m_replicas[router % m_replicas.size()].record_router(
-            vm_id(std::to_string(router)),
-            m_pools[router].take_load_update(),
-            m_now);
+        if (const auto update = m_pools[router].take_load_update(m_now))
+        {
+            m_replicas[router % m_replicas.size()].record_router(
+                vm_id(std::to_string(router)), *update, m_now);
+        }
     }
 
     void send_loads_of_replica(std::size_t replica)
