Servers filled by other routers are sent requests to queue

Cause: a router refused where a server's slots were taken. Since it counts all routers' requests, 4 servers with 6 slots were full at 24 requests in flight, though they queue more and take 30 ms for one; and a request that waited was woken only when one of the same router's ended.

Where all requests are known, twice the slots are sent, and this router's own up to the slots as before; a server refuses what it can't queue. Each message of the exchange wakes the requests that wait.

Test: servers_filled_by_other_routers_are_sent_requests_to_queue (not run on the code before).

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -183,6 +183,8 @@
         callbacks.on_load_update = [this](const directory::load_update& update)
         {
             m_state.pool.on_load_update(update, monotonic_clock::now());
+            // Requests of other routers may have ended.
+            m_state.queue.wake_all();
         };
         callbacks.on_load_peer_lost = [this]
         {
--- a/libs/gateway/src/server_pool.cpp
+++ b/libs/gateway/src/server_pool.cpp
@@ -23,6 +23,11 @@
 /// a delay.
 constexpr double load_factor = 1.4;
 constexpr double load_slack = 3;
+/// Requests that are sent to a server, as a multiple of its slots, where those
+/// of all routers are known. Servers queue some more than they have slots,
+/// refuse what they cannot queue, and are free again sooner than a refused
+/// caller is back.
+constexpr double max_queued_factor = 2;
 /// Prompt tokens whose prefill costs as much as one more concurrent request.
 /// Small, since a prefill stalls all requests of a server: placement follows
 /// the prefix caches, and load takes effect only through the load bound.
@@ -184,6 +189,9 @@
     }
     const double mean = total / static_cast<double>(candidates.size());
     const double bound = load_factor * mean + load_slack;
+    const bool knows_all_requests =
+        load_source_of(*candidates.front(), now) == load_source::exchange;
+    const double queued_factor = knows_all_requests ? max_queued_factor : 1;
     const std::vector<const server_record*> order = rendezvous_order(query);
     std::size_t rank = 0;
     std::map<const server_record*, std::size_t> ranks;
@@ -199,8 +207,9 @@
     for (server_record* each : candidates)
     {
         const double load = load_of(*each, now);
-        if (load >= capacity_of(*each) || load > bound ||
-            !has_cold_capacity(*each, now))
+        const double slots = capacity_of(*each);
+        if (each->own_requests >= slots || load >= queued_factor * slots ||
+            load > bound || !has_cold_capacity(*each, now))
         {
             continue;
         }
--- a/libs/gateway/test/server_pool_test.cpp
+++ b/libs/gateway/test/server_pool_test.cpp
@@ -314,6 +314,26 @@
     BOOST_TEST(known.mean_load == 31.0 / 6);
 }
 
+BOOST_AUTO_TEST_CASE(servers_filled_by_other_routers_are_sent_requests_to_queue)
+{
+    const auto set_other_requests = [this](std::uint32_t requests)
+    {
+        directory::load_update others;
+        others.resets = true;
+        for (int i = 0; i < 6; ++i)
+        {
+            others.changed.push_back(
+                {directory::load_key_of(engine_id("i-" + std::to_string(i))),
+                 requests});
+        }
+        pool.on_load_update(others, start_time);
+    };
+    set_other_requests(8);
+    BOOST_TEST(start_request(plain_query()).has_value());
+    set_other_requests(16);
+    BOOST_TEST(!start_request(plain_query()).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(own_requests_are_told_as_they_change)
 {
     const auto id = start_request(plain_query());
