--- a/libs/directory/include/limpet/directory/load_exchange.hpp
+++ b/libs/directory/include/limpet/directory/load_exchange.hpp
@@ -19,6 +19,8 @@
 class load_exchange
 {
 public:
+    using addressed_update = std::pair<vm_id, load_update>;
+
     /// Records what a router sent that relies on this replica.
     void record_router(const vm_id& router,
                        const load_update& update,
@@ -34,7 +36,7 @@
 
     /// Returns the messages to the replicas and to the routers that rely on
     /// this one, as far as they have answered the last ones.
-    std::vector<std::pair<vm_id, load_update>>
+    std::vector<addressed_update>
     take_updates(const std::vector<vm_id>& replicas, time_point now);
 
 private:
@@ -48,6 +50,13 @@
 
     static void record(peer& from, const load_update& update, time_point now);
     static load_counts sum_of(const peers& all);
+    void take_for_replicas(std::vector<addressed_update>& updates,
+                           const std::vector<vm_id>& replicas,
+                           const load_counts& own_sums,
+                           time_point now);
+    void take_for_routers(std::vector<addressed_update>& updates,
+                          const load_counts& sums,
+                          time_point now);
     static void forget_silent(peers& all, time_point now);
 
     peers m_routers;
--- a/libs/directory/src/load_exchange.cpp
+++ b/libs/directory/src/load_exchange.cpp
@@ -87,40 +87,53 @@
                   });
 }
 
-std::vector<std::pair<vm_id, load_update>>
-load_exchange::take_updates(const std::vector<vm_id>& replicas, time_point now)
+void load_exchange::take_for_replicas(std::vector<addressed_update>& updates,
+                                      const std::vector<vm_id>& replicas,
+                                      const load_counts& own_sums,
+                                      time_point now)
 {
-    forget_silent(m_routers, now);
-    forget_silent(m_replicas, now);
-    const load_counts own_sums = sum_of(m_routers);
-    std::vector<std::pair<vm_id, load_update>> updates;
     for (const vm_id& vm : replicas)
     {
         const auto [entry, is_new] = m_replicas.try_emplace(vm);
+        peer& each = entry->second;
         if (is_new)
         {
-            entry->second.heard_at = now;
+            each.heard_at = now;
         }
-        load_peer& exchanged = entry->second.exchanged;
-        if (exchanged.may_send(now))
+        if (each.exchanged.may_send(now))
         {
-            updates.emplace_back(vm,
-                                 exchanged.take(own_sums, replica_limits, now));
+            updates.emplace_back(
+                vm, each.exchanged.take(own_sums, replica_limits, now));
         }
     }
-    load_counts sums = sum_of(m_replicas);
-    add(sums, own_sums);
+}
+
+void load_exchange::take_for_routers(std::vector<addressed_update>& updates,
+                                     const load_counts& sums,
+                                     time_point now)
+{
     for (auto& [vm, each] : m_routers)
     {
-        load_peer& exchanged = each.exchanged;
-        if (exchanged.may_send(now))
+        if (each.exchanged.may_send(now))
         {
+            const load_counts others = without(sums, each.exchanged.received());
             updates.emplace_back(
-                vm,
-                exchanged.take(
-                    without(sums, exchanged.received()), router_limits, now));
+                vm, each.exchanged.take(others, router_limits, now));
         }
     }
+}
+
+std::vector<load_exchange::addressed_update>
+load_exchange::take_updates(const std::vector<vm_id>& replicas, time_point now)
+{
+    forget_silent(m_routers, now);
+    forget_silent(m_replicas, now);
+    std::vector<addressed_update> updates;
+    const load_counts own_sums = sum_of(m_routers);
+    take_for_replicas(updates, replicas, own_sums, now);
+    load_counts sums = sum_of(m_replicas);
+    add(sums, own_sums);
+    take_for_routers(updates, sums, now);
     return updates;
 }
 
