--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -5,6 +5,7 @@
 
 #include "gateway_state.hpp"
 
+#include <limpet/http/client.hpp>
 #include <limpet/http/server.hpp>
 
 #include <memory>
@@ -99,6 +100,10 @@
     /// acknowledging data.
     bool m_acknowledgement_timed_out = false;
     bool m_stream_begun = false;
+    /// Of the last response: what marks the end of its body, and in a stream
+    /// the bytes after the last whole event.
+    std::optional<http::body_delimiter> m_delimiter;
+    std::size_t m_unfinished_bytes = 0;
     std::uint64_t m_last_event = 0;
     unsigned m_status = 0;
     duration m_wait_time{};
--- a/libs/gateway/src/request_handler_response.cpp
+++ b/libs/gateway/src/request_handler_response.cpp
@@ -64,6 +64,7 @@
                                  : attempt_result::failed;
     }
     m_open_response = answer.get();
+    m_delimiter = answer->delimiter();
     answer->set_read_timeout(time_left());
     const bool is_stream =
         directory::is_stream(m_route->kind) && answer->head().status == 200;
@@ -155,6 +156,7 @@
             co_return attempt_result::finished;
         }
         const auto batch = events.feed(*value_of(part));
+        m_unfinished_bytes = events.unfinished_bytes();
         if (!is_ok(batch))
         {
             m_last_failure = error_of(batch).message;
--- a/libs/http/include/limpet/http/client.hpp
+++ b/libs/http/include/limpet/http/client.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace limpet::http
@@ -47,6 +48,16 @@
     bool may_have_reached_server = true;
 };
 
+/// What marks the end of an answer's body.
+enum class body_delimiter
+{
+    length,     ///< Its announced length, also of an answer without a body.
+    chunks,     ///< The last chunk.
+    connection, ///< The end of the connection, regular or not.
+};
+
+std::string_view to_string(body_delimiter delimiter) noexcept;
+
 /// An answer whose body is read in parts. Destroying it before the end closes
 /// the connection.
 class response_stream
@@ -56,6 +67,8 @@
 
     virtual const response_head& head() const = 0;
 
+    virtual body_delimiter delimiter() const = 0;
+
     /// Returns the next part of the body, nothing at its regular end, or an
     /// error if it was cut off or took too long.
     virtual boost::asio::awaitable<outcome<std::optional<std::string>>>
--- a/libs/http/include/limpet/http/event_splitter.hpp
+++ b/libs/http/include/limpet/http/event_splitter.hpp
@@ -46,6 +46,12 @@
         return m_done;
     }
 
+    /// Returns the number of bytes after the last whole event.
+    std::size_t unfinished_bytes() const noexcept
+    {
+        return m_rest.size();
+    }
+
 private:
     status take_event(std::string_view event, event_batch& batch);
 
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -84,6 +84,20 @@
     send_canceller* m_canceller;
 };
 
+std::string_view to_string(body_delimiter delimiter) noexcept
+{
+    switch (delimiter)
+    {
+    case body_delimiter::length:
+        return "length";
+    case body_delimiter::chunks:
+        return "chunks";
+    case body_delimiter::connection:
+        return "connection";
+    }
+    return "unknown";
+}
+
 void send_canceller::cancel()
 {
     m_cancelled = true;
--- a/libs/http/src/received_response.cpp
+++ b/libs/http/src/received_response.cpp
@@ -89,6 +89,11 @@
     return m_head;
 }
 
+body_delimiter received_response::delimiter() const
+{
+    return m_delimiter;
+}
+
 boost::asio::awaitable<outcome<std::optional<std::string>>>
 received_response::read_some()
 {
@@ -252,6 +257,9 @@
 {
     m_head.status = m_parser->get().result_int();
     m_head.headers = to_header_list(m_parser->get());
+    m_delimiter = m_parser->chunked()          ? body_delimiter::chunks
+                  : m_parser->get().need_eof() ? body_delimiter::connection
+                                               : body_delimiter::length;
 }
 
 void received_response::release()
--- a/libs/http/src/received_response.hpp
+++ b/libs/http/src/received_response.hpp
@@ -41,6 +41,7 @@
     send(std::string_view head, std::string_view body, duration head_timeout);
 
     const response_head& head() const override;
+    body_delimiter delimiter() const override;
     boost::asio::awaitable<outcome<std::optional<std::string>>>
     read_some() override;
     void set_read_timeout(duration timeout) override;
@@ -69,6 +70,7 @@
     boost::beast::flat_buffer m_buffer;
     std::optional<parser> m_parser;
     response_head m_head;
+    body_delimiter m_delimiter = body_delimiter::length;
     duration m_read_timeout;
     std::optional<error> m_error;
     bool m_head_only;
