--- /dev/null
+++ b/libs/gateway/test/gateway_with_servers.hpp
@@ -0,0 +1,225 @@
+/// \file
+/// A gateway between a client and test servers on loopback.
+
+#pragma once
+
+#include "request_handler.hpp"
+
+#include <limpet/http/client.hpp>
+#include <limpet/http/server.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace limpet::gateway
+{
+
+/// Protocol with only the headers that the tests need: "I" carries the request
+/// id, "K" the API key, "After" the last event, and "Not-Run" marks a refusal.
+class test_protocol final : public protocol
+{
+public:
+    outcome<directory::plan> read_document(std::string_view) const override
+    {
+        return error{error_code::malformed, "not used"};
+    }
+
+    outcome<call> read_call(const http::request& message) const override
+    {
+        call result;
+        result.id =
+            request_id(std::string(message.headers.value_or_empty("I")));
+        result.host = "h";
+        result.key = message.headers.value_or_empty("K");
+        if (result.id.get().empty())
+        {
+            return error{error_code::malformed, "no id"};
+        }
+        return result;
+    }
+
+    http::request make_forward(const http::request& message,
+                               const forward_order& order) const override
+    {
+        http::request sent = message;
+        sent.headers.set("After", std::to_string(order.last_event));
+        return sent;
+    }
+
+    server_answer read_answer(const http::response_head& head) const override
+    {
+        server_answer fields;
+        fields.id = request_id(std::string(head.headers.value_or_empty("I")));
+        fields.has_not_run = head.headers.find("Not-Run") != nullptr;
+        return fields;
+    }
+
+    http::response
+    make_refusal(refusal_cause cause,
+                 const request_id&,
+                 std::optional<duration> retry_after) const override
+    {
+        http::response answer;
+        answer.head.status = is_not_run(cause) ? 503 : 502;
+        answer.body = to_string(cause);
+        if (retry_after)
+        {
+            answer.head.headers.set("Come-Back", "1");
+        }
+        return answer;
+    }
+
+    bool asks_readiness(const http::request&) const override
+    {
+        return false;
+    }
+};
+
+/// Servers are registered as i-0, i-1 and so on for the service "s", to which
+/// the only route leads. Request n has the id "rn".
+struct gateway_with_servers
+{
+    boost::asio::io_context context;
+    test_protocol codec;
+    gateway_state state{codec,
+                        server_pool(data_centre_id("z")),
+                        {},
+                        http::client::create({}),
+                        nullptr,
+                        1.0,
+                        monotonic_clock::now(),
+                        {},
+                        {},
+                        false};
+    std::vector<std::unique_ptr<http::server>> servers;
+    std::vector<int> request_counts;
+    std::vector<std::string> results;
+    std::unique_ptr<http::server> gateway_server;
+    std::shared_ptr<http::client> caller = http::client::create({});
+
+    gateway_with_servers()
+    {
+        gateway_server = listen(
+            [this](http::exchange& each) -> boost::asio::awaitable<void>
+            {
+                request_handler request(state, each);
+                co_await request.run();
+            });
+    }
+
+    ~gateway_with_servers()
+    {
+        gateway_server->close();
+        for (const auto& each : servers)
+        {
+            each->close();
+        }
+        while (gateway_server->connection_count() > 0)
+        {
+            context.run_one();
+        }
+        context.poll();
+    }
+
+    std::unique_ptr<http::server> listen(http::server::handler handle)
+    {
+        auto opened =
+            http::server::listen(context,
+                                 {boost::asio::ip::address_v4::loopback(), 0},
+                                 {},
+                                 std::move(handle));
+        return value_of(std::move(opened));
+    }
+
+    void add_server(const http::server::handler& handle,
+                    std::uint32_t slots = 8)
+    {
+        const std::size_t number = servers.size();
+        request_counts.push_back(0);
+        servers.push_back(listen(
+            [this, number, handle](
+                http::exchange& each) -> boost::asio::awaitable<void>
+            {
+                ++request_counts[number];
+                co_await handle(each);
+            }));
+        directory::registration row;
+        row.id = engine_id("i-" + std::to_string(number));
+        row.service = "s";
+        row.data_centre = data_centre_id("z");
+        row.address = "127.0.0.1:" +
+                      std::to_string(servers.back()->local_endpoint().port());
+        row.slots = slots;
+        row.state = directory::server_state::ready;
+        state.pool.apply(row);
+    }
+
+    void set_route(directory::request_kind kind, unsigned attempts = 3)
+    {
+        directory::plan plan;
+        directory::route route;
+        route.host = "h";
+        route.prefix = "/";
+        route.kind = kind;
+        route.attempts = attempts;
+        route.services = {{"s", 1}};
+        plan.routes = {route};
+        plan.services["s"].name = "s";
+        plan.tenants = {{"t", {"key"}, {}}};
+        state.plan =
+            std::make_shared<const directory::route_table>(std::move(plan));
+        state.pool.set_plan(state.plan);
+    }
+
+    boost::asio::awaitable<void> fetch(std::size_t number)
+    {
+        http::request message;
+        message.method = "POST";
+        message.target = "/x";
+        message.headers.set("I", "r" + std::to_string(number));
+        message.headers.set("K", "key");
+        auto result = co_await caller->fetch(
+            gateway_server->local_endpoint(), message, seconds(20), 1 << 20);
+        if (auto* answer = std::get_if<http::response>(&result))
+        {
+            results.push_back(std::to_string(answer->head.status) + " " +
+                              answer->body);
+        }
+        else
+        {
+            results.emplace_back("cut");
+        }
+    }
+
+    const std::vector<std::string>& run(std::size_t count = 1)
+    {
+        results.clear();
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            boost::asio::co_spawn(context, fetch(i), boost::asio::detached);
+        }
+        while (results.size() < count)
+        {
+            context.run_one();
+        }
+        return results;
+    }
+
+    int total_requests() const
+    {
+        int sum = 0;
+        for (const int each : request_counts)
+        {
+            sum += each;
+        }
+        return sum;
+    }
+};
+
+} // namespace limpet::gateway
--- /dev/null
+++ b/libs/gateway/test/raw_server.hpp
@@ -0,0 +1,128 @@
+/// \file
+/// A server that answers with arbitrary bytes.
+
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace limpet::gateway
+{
+
+/// How a server ends its connection.
+enum class connection_end
+{
+    closed,
+    reset,
+};
+
+inline std::string_view to_string(connection_end end)
+{
+    return end == connection_end::closed ? "closed" : "reset";
+}
+
+/// Answers the head of each request with the same bytes and ends the
+/// connection. Ignores the bodies of requests.
+class raw_server
+{
+public:
+    explicit raw_server(boost::asio::io_context& context)
+        : m_acceptor(context, {boost::asio::ip::address_v4::loopback(), 0})
+    {
+        boost::asio::co_spawn(context, accept(), boost::asio::detached);
+    }
+
+    void set_answer(std::string bytes, connection_end end)
+    {
+        m_bytes = std::move(bytes);
+        m_end = end;
+    }
+
+    /// Sends the answer's bytes again and again until the peer closes.
+    void repeat_answer()
+    {
+        m_is_endless = true;
+    }
+
+    boost::asio::ip::tcp::endpoint endpoint() const
+    {
+        return m_acceptor.local_endpoint();
+    }
+
+    /// Returns the number of connections that have not ended.
+    int open_connections() const
+    {
+        return m_open;
+    }
+
+    void close()
+    {
+        m_acceptor.close();
+    }
+
+private:
+    boost::asio::awaitable<void> accept()
+    {
+        for (;;)
+        {
+            boost::system::error_code failure;
+            auto socket =
+                co_await m_acceptor.async_accept(boost::asio::redirect_error(
+                    boost::asio::use_awaitable, failure));
+            if (failure)
+            {
+                co_return;
+            }
+            ++m_open;
+            boost::asio::co_spawn(m_acceptor.get_executor(),
+                                  answer(std::move(socket)),
+                                  boost::asio::detached);
+        }
+    }
+
+    boost::asio::awaitable<void> answer(boost::asio::ip::tcp::socket socket)
+    {
+        boost::system::error_code failure;
+        std::string request;
+        co_await boost::asio::async_read_until(
+            socket,
+            boost::asio::dynamic_buffer(request),
+            "\r\n\r\n",
+            boost::asio::redirect_error(boost::asio::use_awaitable, failure));
+        const std::string bytes = m_bytes;
+        const connection_end end = m_end;
+        do
+        {
+            co_await boost::asio::async_write(
+                socket,
+                boost::asio::buffer(bytes),
+                boost::asio::redirect_error(boost::asio::use_awaitable,
+                                            failure));
+        } while (m_is_endless && !failure);
+        if (end == connection_end::reset)
+        {
+            socket.set_option(boost::asio::socket_base::linger(true, 0),
+                              failure);
+        }
+        socket.close(failure);
+        --m_open;
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::string m_bytes;
+    connection_end m_end = connection_end::closed;
+    bool m_is_endless = false;
+    int m_open = 0;
+};
+
+} // namespace limpet::gateway
