A stream without an event is not refused as not run

What callers saw: 503, which promises that the request has not run, for a stream whose server ended its response regularly before the first event. Found by the test of broken-off answers (a cut just after the head, without length and chunks); with chunks it is the same.

Cause: the attempt counted as finished though nothing was sent to the caller, and run() refuses a request without a status with its first cause, not_run. Now such an attempt has failed: 502, or another server where the route may repeat. A response without events is complete only where the caller already has events and the body's end is marked. The head goes to the caller with the first whole event, so that a stream that breaks off inside it can still be answered.

stream_without_an_event_is_not_refused_as_not_run failed before ("503 not_run"); stream_of_which_the_caller_lacks_only_the_end_is_completed passed before as well.

--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -62,6 +62,9 @@
     forward_buffered(std::unique_ptr<http::response_stream> answer);
     boost::asio::awaitable<attempt_result>
     forward_stream(std::unique_ptr<http::response_stream> answer);
+    /// Sends the head of the response to the caller, if none was sent yet.
+    boost::asio::awaitable<void> begin_stream(const http::response_head& head);
+    bool may_be_empty(http::body_delimiter delimiter) const;
     boost::asio::awaitable<void> refuse(refusal_cause cause);
 
     bool may_retry(attempt_result last);
--- a/libs/gateway/src/request_handler_response.cpp
+++ b/libs/gateway/src/request_handler_response.cpp
@@ -139,6 +139,7 @@
 request_handler::forward_stream(std::unique_ptr<http::response_stream> answer)
 {
     http::event_splitter events(m_last_event, max_event_bytes);
+    bool has_events = false;
     for (;;)
     {
         auto part = co_await answer->read_some();
@@ -151,7 +152,13 @@
         }
         if (!value_of(part))
         {
+            if (!has_events && !may_be_empty(answer->delimiter()))
+            {
+                m_last_failure = "stream ended before its first event";
+                break;
+            }
             m_open_response = nullptr;
+            co_await begin_stream(answer->head());
             co_await m_exchange.end_stream();
             co_return attempt_result::finished;
         }
@@ -162,19 +169,38 @@
             m_last_failure = error_of(batch).message;
             break;
         }
-        if (!m_stream_begun)
+        if (!value_of(batch).bytes.empty())
         {
-            m_stream_begun = true;
-            m_status = answer->head().status;
-            m_first_byte_at = monotonic_clock::now();
-            co_await m_exchange.begin_stream(answer->head());
+            has_events = true;
+            co_await begin_stream(answer->head());
+            co_await m_exchange.write(value_of(batch).bytes);
+            m_last_event = std::max(m_last_event, value_of(batch).last_event);
         }
-        co_await m_exchange.write(value_of(batch).bytes);
-        m_last_event = std::max(m_last_event, value_of(batch).last_event);
         answer->set_read_timeout(std::max(time_left(), duration::zero()));
     }
     co_return m_stream_begun ? attempt_result::interrupted
                              : attempt_result::failed;
 }
 
+/// Returns whether a stream without any event may be complete: the caller may
+/// have had all events, but not the end. A closed connection does not tell this
+/// from a stream that was broken off.
+bool request_handler::may_be_empty(http::body_delimiter delimiter) const
+{
+    return m_last_event > 0 && delimiter != http::body_delimiter::connection;
+}
+
+net::awaitable<void>
+request_handler::begin_stream(const http::response_head& head)
+{
+    if (m_stream_begun)
+    {
+        co_return;
+    }
+    m_stream_begun = true;
+    m_status = head.status;
+    m_first_byte_at = monotonic_clock::now();
+    co_await m_exchange.begin_stream(head);
+}
+
 } // namespace limpet::gateway
--- a/libs/gateway/test/request_handler_test.cpp
+++ b/libs/gateway/test/request_handler_test.cpp
@@ -180,6 +180,22 @@
     BOOST_TEST(received == "200 " + expected);
 }
 
+BOOST_AUTO_TEST_CASE(stream_without_an_event_is_not_refused_as_not_run)
+{
+    set_route(directory::request_kind::stream);
+    add_server(with_events(0, true));
+    BOOST_TEST(run().front() == "502 failed");
+}
+
+BOOST_AUTO_TEST_CASE(stream_of_which_the_caller_lacks_only_the_end_is_completed)
+{
+    set_route(directory::request_kind::resumable_stream);
+    add_server(with_events(2, false));
+    add_server(with_events(2, false));
+    add_server(with_events(2, true));
+    BOOST_TEST(run().front() == "200 " + event_text(1) + event_text(2));
+}
+
 BOOST_AUTO_TEST_CASE(stream_that_may_not_resume_is_cut_off)
 {
     set_route(directory::request_kind::stream);
