A stream to a caller without chunks is cut off by a reset

What callers of HTTP/1.0 saw: a stream that the router cut off looked complete, since such a stream ends with its connection and the router closed it regularly.

server_stream_cut_off_without_chunks_ends_irregularly failed before (end of file, not a reset) and passes now.

--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -157,6 +157,11 @@
 {
     m_deadline->detach();
     boost::system::error_code ignored;
+    if (m_answer == answer_state::streaming && !m_chunked)
+    {
+        // The caller takes a regular end of the connection for the body's.
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
     m_socket.close(ignored);
 }
 
--- a/libs/http/test/loopback.hpp
+++ b/libs/http/test/loopback.hpp
@@ -91,8 +91,11 @@
     }
 
     /// Sends the bytes over a new connection and returns all that comes back
-    /// until the server closes.
-    std::string exchange_raw(std::string bytes, bool half_close = false)
+    /// until the server closes. Sets how the connection ended:
+    /// boost::asio::error::eof if regularly.
+    std::string exchange_raw(std::string bytes,
+                             bool half_close = false,
+                             boost::system::error_code* ended = nullptr)
     {
         boost::asio::ip::tcp::socket socket(context);
         socket.connect(endpoint);
@@ -104,6 +107,10 @@
         }
         std::string answer;
         boost::asio::read(socket, boost::asio::dynamic_buffer(answer), failure);
+        if (ended != nullptr)
+        {
+            *ended = failure;
+        }
         return answer;
     }
 
--- a/libs/http/test/server_test.cpp
+++ b/libs/http/test/server_test.cpp
@@ -159,6 +159,14 @@
     BOOST_TEST(answer.ends_with("\r\n\r\none two three"));
 }
 
+BOOST_AUTO_TEST_CASE(server_stream_cut_off_without_chunks_ends_irregularly)
+{
+    serve(cut_off);
+    boost::system::error_code ended;
+    exchange_raw("GET / HTTP/1.0\r\n\r\n", false, &ended);
+    BOOST_TEST(ended == boost::asio::error::connection_reset);
+}
+
 BOOST_AUTO_TEST_CASE(server_caller_gone_is_reported_once)
 {
     const auto started = std::make_shared<std::promise<void>>();
