--- a/libs/gateway/test/broken_off_answers_test.cpp
+++ b/libs/gateway/test/broken_off_answers_test.cpp
@@ -131,29 +131,14 @@
         server.close();
     }
 
-    /// Returns the result of a request whose response is cut off. The server
-    /// gets a new id, since failures count against the id.
+    /// Returns the result of a request whose response is cut off.
     std::string fetch_cut(const cut_response& cut)
     {
-        directory::registration row = registration_of(m_cuts);
-        row.state = directory::server_state::gone;
-        state.pool.apply(row);
-        state.pool.apply(registration_of(++m_cuts));
         server.set_answer(cut.bytes(), cut.end);
+        add_raw_server(server.endpoint());
         return run().front();
     }
 
-    directory::registration registration_of(int number) const
-    {
-        directory::registration row;
-        row.id = engine_id("a-" + std::to_string(number));
-        row.service = "s";
-        row.data_centre = data_centre_id("z");
-        row.address = "127.0.0.1:" + std::to_string(server.endpoint().port());
-        row.slots = 8;
-        return row;
-    }
-
     template <class Check>
     void for_each_cut(const std::vector<std::string>& parts, Check check)
     {
@@ -167,9 +152,6 @@
             }
         }
     }
-
-private:
-    int m_cuts = 0;
 };
 
 } // namespace
--- a/libs/gateway/test/gateway_with_servers.hpp
+++ b/libs/gateway/test/gateway_with_servers.hpp
@@ -149,14 +149,39 @@
                 ++request_counts[number];
                 co_await handle(each);
             }));
+        register_server("i-" + std::to_string(number),
+                        servers.back()->local_endpoint(),
+                        slots);
+    }
+
+    /// Registers a server under an id that sorts before those of the others,
+    /// and removes the one registered by the last call: failures count against
+    /// the id.
+    void add_raw_server(const boost::asio::ip::tcp::endpoint& address)
+    {
+        if (m_raw_servers > 0)
+        {
+            register_server("a-" + std::to_string(m_raw_servers),
+                            address,
+                            1,
+                            directory::server_state::gone);
+        }
+        register_server("a-" + std::to_string(++m_raw_servers), address, 8);
+    }
+
+    void register_server(
+        std::string id,
+        const boost::asio::ip::tcp::endpoint& address,
+        std::uint32_t slots,
+        directory::server_state server_state = directory::server_state::ready)
+    {
         directory::registration row;
-        row.id = engine_id("i-" + std::to_string(number));
+        row.id = engine_id(std::move(id));
         row.service = "s";
         row.data_centre = data_centre_id("z");
-        row.address = "127.0.0.1:" +
-                      std::to_string(servers.back()->local_endpoint().port());
+        row.address = "127.0.0.1:" + std::to_string(address.port());
         row.slots = slots;
-        row.state = directory::server_state::ready;
+        row.state = server_state;
         state.pool.apply(row);
     }
 
@@ -185,7 +210,7 @@
         message.headers.set("I", "r" + std::to_string(number));
         message.headers.set("K", "key");
         auto result = co_await caller->fetch(
-            gateway_server->local_endpoint(), message, seconds(20), 1 << 20);
+            gateway_server->local_endpoint(), message, seconds(20), 1 << 24);
         if (auto* answer = std::get_if<http::response>(&result))
         {
             results.push_back(std::to_string(answer->head.status) + " " +
@@ -220,6 +245,9 @@
         }
         return sum;
     }
+
+private:
+    int m_raw_servers = 0;
 };
 
 } // namespace limpet::gateway
--- a/libs/gateway/test/raw_server.hpp
+++ b/libs/gateway/test/raw_server.hpp
@@ -48,10 +48,12 @@
         m_end = end;
     }
 
-    /// Sends the answer's bytes again and again until the peer closes.
-    void repeat_answer()
+    /// Sends the bytes once and then the others without end, until the peer
+    /// closes.
+    void set_endless_answer(std::string bytes, std::string repeated)
     {
-        m_is_endless = true;
+        m_bytes = std::move(bytes);
+        m_repeated = std::move(repeated);
     }
 
     boost::asio::ip::tcp::endpoint endpoint() const
@@ -99,8 +101,9 @@
             boost::asio::dynamic_buffer(request),
             "\r\n\r\n",
             boost::asio::redirect_error(boost::asio::use_awaitable, failure));
-        const std::string bytes = m_bytes;
+        const std::string repeated = m_repeated;
         const connection_end end = m_end;
+        std::string bytes = m_bytes;
         do
         {
             co_await boost::asio::async_write(
@@ -108,7 +111,8 @@
                 boost::asio::buffer(bytes),
                 boost::asio::redirect_error(boost::asio::use_awaitable,
                                             failure));
-        } while (m_is_endless && !failure);
+            bytes = repeated;
+        } while (!repeated.empty() && !failure);
         if (end == connection_end::reset)
         {
             socket.set_option(boost::asio::socket_base::linger(true, 0),
@@ -121,7 +125,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::string m_bytes;
     connection_end m_end = connection_end::closed;
-    bool m_is_endless = false;
+    std::string m_repeated;
     int m_open = 0;
 };
 
--- a/libs/http/include/limpet/http/event_splitter.hpp
+++ b/libs/http/include/limpet/http/event_splitter.hpp
@@ -28,12 +28,13 @@
 
 /// Finds event boundaries, checks that numbered events follow each other, and
 /// drops those that the caller already has. Events without an id are passed
-/// on as they are.
+/// on as they are, up to a bound.
 class event_splitter
 {
 public:
-    /// Events up to and including `resume_after` are dropped. An event may
-    /// have at most max_event_bytes.
+    /// Events up to and including `resume_after` are dropped. An event, with
+    /// all that comes after the last new numbered event, may have at most
+    /// max_event_bytes: a stream that never ends makes no progress either.
     event_splitter(std::uint64_t resume_after, std::size_t max_event_bytes);
 
     /// Takes the next bytes. Errors: malformed for an event that is too long,
@@ -62,6 +63,8 @@
     std::uint64_t m_last_event;
     std::size_t m_max_event_bytes;
     std::string m_rest;
+    /// Bytes of whole events since the last new numbered event.
+    std::size_t m_bytes_without_progress = 0;
     std::size_t m_scanned = 0;
     bool m_done = false;
 };
--- a/libs/http/src/event_splitter.cpp
+++ b/libs/http/src/event_splitter.cpp
@@ -95,9 +95,9 @@
         m_scanned = next;
     }
     m_rest.erase(0, begin);
-    if (m_rest.size() > m_max_event_bytes)
+    if (m_bytes_without_progress + m_rest.size() > m_max_event_bytes)
     {
-        return error{error_code::malformed, "event is too long"};
+        return error{error_code::malformed, "too many bytes without an event"};
     }
     // The last byte may be the first half of an event's end.
     m_scanned = m_rest.empty() ? 0 : m_rest.size() - 1;
@@ -112,6 +112,7 @@
 status event_splitter::take_event(std::string_view event, event_batch& batch)
 {
     const event_fields fields = read_fields(event);
+    m_bytes_without_progress += event.size();
     if (fields.id)
     {
         const outcome<std::uint64_t> id = parse_event_id(*fields.id);
@@ -128,6 +129,7 @@
             return error{error_code::malformed, "gap between event ids"};
         }
         m_last_event = value_of(id);
+        m_bytes_without_progress = 0;
         batch.last_event = m_last_event;
         ++batch.events;
     }
--- a/libs/http/test/event_splitter_test.cpp
+++ b/libs/http/test/event_splitter_test.cpp
@@ -93,6 +93,21 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(stream_without_new_events_is_refused_after_a_bound)
+{
+    for (const std::string& event : {make_event(1), std::string(": x\n\n")})
+    {
+        event_splitter splitter(1, max_event_bytes);
+        std::size_t taken = 0;
+        while (is_ok(splitter.feed(event)) && taken <= max_event_bytes)
+        {
+            taken += event.size();
+        }
+        BOOST_TEST(taken <= max_event_bytes);
+        BOOST_TEST(taken + event.size() > max_event_bytes);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(malformed_stream_is_refused)
 {
     const std::string streams[] = {
@@ -100,6 +115,7 @@
         "id: x\ndata: y\n\n",                  // no number
         "id: 0\ndata: y\n\n",                  // no valid number
         std::string(max_event_bytes + 1, 'a'), // too long
+        std::string(max_event_bytes, 'a') + "\n\n",
     };
     for (const std::string& stream : streams)
     {
