Response bodies that are received whole share a bound

A plain response without end was given up after 16 MiB, but each of many: ten of them take the memory of a router (160 MB on the smallest machines) before the first is given up, and the process ends with all its requests.

Bodies beyond 256 KiB now share 40 MiB; a response for which there is no room is a failure of its server (502, or another server). Small bodies do not count, so that others are served while a server sends without end.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -64,6 +64,7 @@
                   monotonic_clock::now(),
                   {},
                   {},
+                  {},
                   false},
           m_drain_timer(context)
     {
--- a/libs/gateway/src/gateway_state.hpp
+++ b/libs/gateway/src/gateway_state.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "gateway_metrics.hpp"
+#include "response_buffer.hpp"
 #include "wait_queue.hpp"
 
 #include <limpet/admission/retry_budget.hpp>
@@ -34,6 +35,7 @@
     std::map<std::string, admission::retry_budget> retry_budgets;
 
     gateway_metrics metrics;
+    response_buffer_budget response_buffers;
     /// Whether new requests are refused because the gateway shuts down.
     bool is_shutting_down = false;
 
--- a/libs/gateway/src/request_handler_response.cpp
+++ b/libs/gateway/src/request_handler_response.cpp
@@ -16,8 +16,6 @@
 constexpr std::size_t max_event_bytes = 1024UL * 1024;
 /// Lowest HTTP status that counts as a failure of the server.
 constexpr unsigned first_failure_status = 500;
-/// Largest body of a response that is not a stream.
-constexpr std::size_t max_answer_bytes = 16UL * 1024 * 1024;
 
 } // namespace
 
@@ -101,6 +99,7 @@
 {
     http::response buffered;
     buffered.head = answer->head();
+    response_buffer body(m_state.response_buffers);
     for (;;)
     {
         auto part = co_await answer->read_some();
@@ -113,15 +112,16 @@
         {
             break;
         }
-        buffered.body += *value_of(part);
-        if (buffered.body.size() > max_answer_bytes)
+        const status taken = body.append(*value_of(part));
+        if (!is_ok(taken))
         {
-            m_last_failure = "response body exceeds 16 MiB";
+            m_last_failure = error_of(taken).message;
             co_return attempt_result::failed;
         }
         answer->set_read_timeout(std::max(time_left(), duration::zero()));
     }
     m_open_response = nullptr;
+    buffered.body = body.take();
     if (buffered.head.status >= first_failure_status &&
         directory::may_repeat(m_route->kind))
     {
--- a/libs/gateway/test/gateway_with_servers.hpp
+++ b/libs/gateway/test/gateway_with_servers.hpp
@@ -96,6 +96,7 @@
                         monotonic_clock::now(),
                         {},
                         {},
+                        {},
                         false};
     std::vector<std::unique_ptr<http::server>> servers;
     std::vector<int> request_counts;
