Registrations carry the software version to the routers, and logs show it

The incident's hypotheses differ in who sends a stream's continuation to another version. Registrations name the version, but the replicas dropped it. It now travels with them, and request.end has engine_version, resumes and resumed_after; server.changed and registration.taken have version. No decision depends on them.

--- a/libs/directory/include/limpet/directory/registration.hpp
+++ b/libs/directory/include/limpet/directory/registration.hpp
@@ -41,6 +41,9 @@
     /// Increases with each registration since that start.
     std::uint64_t sequence = 0;
     std::uint32_t slots = 0;
+    /// Version of the server's software; empty if it comes from a replica that
+    /// does not pass it on. Servers of several versions may serve at one time.
+    std::string version;
     server_state state = server_state::ready;
     /// Time until which the server is limited to its cold rate; the epoch if it
     /// is not cold.
--- a/libs/directory/src/registration.cpp
+++ b/libs/directory/src/registration.cpp
@@ -41,7 +41,8 @@
            current.address != incoming.address ||
            current.service != incoming.service ||
            current.data_centre != incoming.data_centre ||
-           current.slots != incoming.slots || cold_changed;
+           current.slots != incoming.slots ||
+           current.version != incoming.version || cold_changed;
 }
 
 } // namespace
--- a/libs/directory/src/update.cpp
+++ b/libs/directory/src/update.cpp
@@ -35,7 +35,8 @@
         from.slots,
         static_cast<std::uint8_t>(from.state),
         to_wire_milliseconds(from.cold_until - now),
-        to_wire_milliseconds(now - from.heard_at));
+        to_wire_milliseconds(now - from.heard_at),
+        from.version.c_str());
 }
 
 server_state read_state(std::uint8_t from)
@@ -63,6 +64,7 @@
     out.born_ms = from.born_ms();
     out.sequence = from.sequence();
     out.slots = from.slots();
+    out.version = text_or_empty(from.version());
     out.state = read_state(from.state());
     if (from.cold_ms() > 0)
     {
--- a/libs/directory/test/intent_test.cpp
+++ b/libs/directory/test/intent_test.cpp
@@ -205,6 +205,7 @@
     row.born_ms = 17;
     row.sequence = 4;
     row.slots = 64;
+    row.version = "v1.1";
     row.cold_until = sent + seconds(3);
     row.heard_at = sent - seconds(1);
     frame.registrations = {row};
@@ -223,6 +224,7 @@
     BOOST_TEST((result.registrations[0].cold_until == received + seconds(3)));
     BOOST_TEST((result.registrations[0].heard_at == received - seconds(1)));
     BOOST_TEST((result.registrations[0].state == server_state::draining));
+    BOOST_TEST(result.registrations[0].version == "v1.1");
     BOOST_TEST(!is_ok(decode_update("not an update", received)));
 }
 
--- a/libs/gateway/include/limpet/gateway/protocol.hpp
+++ b/libs/gateway/include/limpet/gateway/protocol.hpp
@@ -50,6 +50,9 @@
     /// Number of the last event that the caller received before it reconnected,
     /// 0 for none.
     std::uint64_t last_event = 0;
+    /// The request that brought the first event to a caller that reconnected;
+    /// empty if the caller does not name it.
+    request_id resumes;
 };
 
 /// Fields that the gateway adds to a request that it forwards.
--- a/libs/gateway/include/limpet/gateway/server_pool.hpp
+++ b/libs/gateway/include/limpet/gateway/server_pool.hpp
@@ -67,6 +67,8 @@
 {
     engine_id id;
     boost::asio::ip::tcp::endpoint address;
+    /// Version of its software.
+    std::string version;
     /// Another server whose prefix cache probably holds the prompt's common
     /// parts, where this server's cache may not. A copy costs a fraction of a
     /// prefill.
--- a/libs/gateway/src/directory_client.cpp
+++ b/libs/gateway/src/directory_client.cpp
@@ -324,6 +324,7 @@
                       {{"engine", registration.id.get()},
                        {"address", registration.address},
                        {"service", registration.service},
+                       {"version", registration.version},
                        {"state", to_string(registration.state)},
                        {"sequence", registration.sequence},
                        {"replica", from.get()}});
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -306,6 +306,7 @@
 request_handler::attempt(const chosen_server& server)
 {
     m_server = server.id;
+    m_server_version = server.version;
     m_assessment = server.assessment;
     m_reported_load.reset();
     m_state.pool.on_begin(server.id, m_query, monotonic_clock::now());
@@ -399,6 +400,9 @@
                {"outcome", outcome},
                {"status", m_status},
                {"engine", m_server.get()},
+               {"engine_version", m_server_version},
+               {"resumes", m_call.resumes.get()},
+               {"resumed_after", m_call.last_event},
                {"tries", m_reached_attempts},
                {"unreached", m_unreached_attempts},
                {"assumed_load", m_assessment.assumed_load},
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -112,6 +112,7 @@
     duration m_wait_time{};
     time_point m_first_byte_at{};
     engine_id m_server;
+    std::string m_server_version;
     /// Of the last attempt: what was assumed of its server, and the load that
     /// the server reported in its response.
     load_assessment m_assessment;
--- a/libs/gateway/src/server_pool.cpp
+++ b/libs/gateway/src/server_pool.cpp
@@ -232,6 +232,7 @@
     const auto best_rank = ranks.find(best);
     return chosen_server{best->registration.id,
                          best->address,
+                         best->registration.version,
                          find_copy_source(*best, query, order, now),
                          assess(*best,
                                 mean,
