Replicas tell routers of each other and of all versions that servers have had

- The other routers: frames name those that began or ceased to subscribe, all of them in the first frame to a router.
About 50 bytes for each change and router; a full list with each frame would be 4 KB twice a second for each of 58 routers, 3.8 of the 6 Mbit/s of a replica's link (reckoned, not measured).
- Since when a replica knows all registrations: its start, at most as long as rows of servers that left are kept.
- The versions that servers of a service ever had, in the control group's log: one small entry at a release, proposed by the leader.
It outlives a restart of all processes, after which the registrations begin anew.
At most 8 versions for each of 1,000 services, as anybody may register (flood_of_versions test).

--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -244,6 +244,10 @@
         callbacks.on_tick = [this]
         {
             log_leader_change();
+            if (m_orders)
+            {
+                m_orders->record_versions();
+            }
         };
         m_feed = std::make_unique<directory_feed>(
             m_context,
--- a/libs/control/src/directory_feed.cpp
+++ b/libs/control/src/directory_feed.cpp
@@ -181,6 +181,10 @@
                   {{"peer", from.vm.get()}, {"router", frame.is_router}});
         known.sent_change = 0;
     }
+    if (frame.is_router)
+    {
+        record_router(from);
+    }
     known.start = from.start;
     known.is_router = frame.is_router;
     known.heard_at = now;
@@ -195,6 +199,36 @@
     }
 }
 
+void directory_feed::record_router(const wire::link_identity& router)
+{
+    router_entry& entry = m_routers[router.vm];
+    if (entry.change == 0 || entry.is_gone ||
+        entry.data_centre != router.data_centre)
+    {
+        entry = {router.data_centre, false, ++m_router_changes};
+    }
+}
+
+void directory_feed::add_router_changes(directory::update& frame,
+                                        subscriber& to) const
+{
+    const std::uint64_t since = frame.is_complete ? 0 : to.sent_router_change;
+    for (const auto& [vm, each] : m_routers)
+    {
+        if (each.change > since)
+        {
+            frame.router_changes.push_back(
+                {vm, each.data_centre, each.is_gone});
+        }
+    }
+    to.sent_router_change = m_router_changes;
+}
+
+duration directory_feed::history(time_point now) const
+{
+    return std::min(now - m_started_at, tombstone_retention);
+}
+
 void directory_feed::on_lost(const vm_id& peer)
 {
     const auto known = m_subscribers.find(peer);
@@ -226,6 +260,11 @@
     {
         frame.replicas = m_callbacks.replicas();
         frame.routers = routers();
+        if (to.is_router)
+        {
+            add_router_changes(frame, to);
+            frame.history = history(monotonic_clock::now());
+        }
         send(peer, frame);
     }
 }
@@ -244,20 +283,31 @@
     return result;
 }
 
-void directory_feed::send_updates(bool is_forced)
+void directory_feed::remove_silent_subscribers(time_point now)
 {
-    const time_point now = monotonic_clock::now();
     std::erase_if(m_subscribers,
                   [this, now](const auto& each)
                   {
+                      const auto& [vm, known] = each;
                       const bool is_lost =
-                          each.second.heard_at + subscriber_timeout < now;
+                          known.heard_at + subscriber_timeout < now;
                       if (is_lost)
                       {
-                          m_orders.forget(each.first);
+                          m_orders.forget(vm);
+                      }
+                      if (is_lost && known.is_router)
+                      {
+                          router_entry& router = m_routers[vm];
+                          router.is_gone = true;
+                          router.change = ++m_router_changes;
                       }
                       return is_lost;
                   });
+}
+
+void directory_feed::send_updates(bool is_forced)
+{
+    remove_silent_subscribers(monotonic_clock::now());
     for (auto& [peer, each] : m_subscribers)
     {
         // Replicas receive heartbeats instead of empty updates.
--- a/libs/control/src/directory_feed.hpp
+++ b/libs/control/src/directory_feed.hpp
@@ -73,6 +73,11 @@
     /// take().
     directory::merge_result leave(const engine_id& id);
 
+    const directory::registration_table& registrations() const noexcept
+    {
+        return m_table;
+    }
+
     /// Returns the number of subscribed routers.
     std::uint32_t routers() const;
 
@@ -89,12 +94,27 @@
         incarnation start;
         bool is_router = false;
         time_point heard_at{};
-        /// Number of the last change that was sent, 0 for none.
+        /// Numbers of the last changes of registrations and of routers that
+        /// were sent, 0 for none.
         std::uint64_t sent_change = 0;
+        std::uint64_t sent_router_change = 0;
+    };
+
+    /// Last change of a router.
+    struct router_entry
+    {
+        data_centre_id data_centre;
+        bool is_gone = false;
+        std::uint64_t change = 0;
     };
 
     void tick();
     void schedule();
+    void record_router(const wire::link_identity& router);
+    void remove_silent_subscribers(time_point now);
+    void add_router_changes(directory::update& frame, subscriber& to) const;
+    /// Returns how long this replica has known all registrations.
+    duration history(time_point now) const;
     void merge_registrations(const directory::update& frame);
     void update_subscriber(const wire::link_identity& from,
                            const directory::update& frame);
@@ -114,6 +134,9 @@
     feed_callbacks m_callbacks;
     directory::registration_table m_table;
     std::map<vm_id, subscriber> m_subscribers;
+    std::map<vm_id, router_entry> m_routers;
+    std::uint64_t m_router_changes = 0;
+    time_point m_started_at = monotonic_clock::now();
     order_feed m_orders;
     load_feed m_loads;
     /// Time of the last update from each other replica.
--- a/libs/control/src/order_service.cpp
+++ b/libs/control/src/order_service.cpp
@@ -49,6 +49,44 @@
     co_return success();
 }
 
+void order_service::record_versions()
+{
+    if (m_is_recording || !is_leader())
+    {
+        return;
+    }
+    directory::command order;
+    order.kind = directory::command_kind::add_version;
+    bool is_lacking = false;
+    m_feed.registrations().for_each(
+        [this, &order, &is_lacking](const directory::registration& each)
+        {
+            if (!is_lacking &&
+                m_state.orders().lacks_version(each.service, each.version))
+            {
+                order.service = each.service;
+                order.software_version = each.version;
+                is_lacking = true;
+            }
+        });
+    if (!is_lacking)
+    {
+        return;
+    }
+    m_is_recording = true;
+    m_log.propose(
+        make_entry(order),
+        [this, order](const outcome<replica::proposal_result>& done)
+        {
+            m_is_recording = false;
+            log_event(log_level::info,
+                      "version.recorded",
+                      {{"service", order.service},
+                       {"version", order.software_version},
+                       {"reason", is_ok(done) ? "" : error_of(done).message}});
+        });
+}
+
 directory::command
 order_service::as_delta(const directory::command& order) const
 {
--- a/libs/control/src/order_service.hpp
+++ b/libs/control/src/order_service.hpp
@@ -36,6 +36,10 @@
 
     boost::asio::awaitable<status> submit(directory::command order) override;
 
+    /// Proposes a version of the registered servers that is not recorded yet,
+    /// if there is one and this replica leads. Call periodically.
+    void record_versions();
+
     boost::asio::awaitable<
         outcome<std::shared_ptr<const directory::stored_document>>>
     read_document() override;
@@ -66,6 +70,8 @@
     directory_feed& m_feed;
     follower_reads& m_reads;
     vm_ports m_self;
+    /// Whether a version has been proposed whose result is not known.
+    bool m_is_recording = false;
 };
 
 } // namespace limpet::control
--- a/libs/control/test/directory_feed_test.cpp
+++ b/libs/control/test/directory_feed_test.cpp
@@ -254,4 +254,19 @@
     BOOST_TEST(full_documents() == routers);
 }
 
+BOOST_FIXTURE_TEST_CASE(new_router_is_told_of_all_routers,
+                        subscribed_router_fixture)
+{
+    const vm_id second("10.0.1.2");
+    acknowledge(second, 0);
+    const auto& [peer, frame] = hub->sent.back();
+    BOOST_TEST((peer == second));
+    BOOST_TEST(frame.is_complete);
+    BOOST_REQUIRE(frame.router_changes.size() == 2U);
+    BOOST_TEST((frame.router_changes[0].vm == router));
+    BOOST_TEST(
+        (frame.router_changes[1].data_centre == data_centre_id("north")));
+    BOOST_TEST(!frame.router_changes[1].is_gone);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/directory/include/limpet/directory/intent.hpp
+++ b/libs/directory/include/limpet/directory/intent.hpp
@@ -1,6 +1,7 @@
 /// \file
 /// Operators' orders: the configuration document in force and the data centres
-/// taken out of service. Replicated through the control group's log.
+/// taken out of service; and the software versions that servers have had.
+/// Replicated through the control group's log.
 
 #pragma once
 
@@ -9,6 +10,7 @@
 #include <limpet/directory/text_delta.hpp>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -22,8 +24,9 @@
 enum class command_kind : std::uint8_t
 {
     put_document = 1,
-    take_out = 2,   ///< Send no new requests to a data centre's servers.
-    bring_back = 3, ///< Send requests to the data centre's servers again.
+    take_out = 2,    ///< Send no new requests to a data centre's servers.
+    bring_back = 3,  ///< Send requests to the data centre's servers again.
+    add_version = 4, ///< A server of the software version has registered.
 };
 
 /// A new document as a delta against the document of the version `base`.
@@ -43,8 +46,15 @@
     std::shared_ptr<const stored_document> document;
     std::optional<change_of_version> change;
     std::string data_centre;
+    /// Of add_version.
+    std::string service;
+    std::string software_version;
 };
 
+/// Software versions by service. Survives a restart of all replicas, so that
+/// routers then still know which services have had one version only.
+using version_map = std::map<std::string, std::set<std::string>>;
+
 /// Result of applying an order.
 enum class order_result
 {
@@ -69,6 +79,12 @@
     document_version version;
     std::shared_ptr<const stored_document> document;
     std::set<std::string> taken_out;
+    version_map versions;
+
+    /// Returns whether add_version of these would change the state. The number
+    /// of versions is bounded, as anybody may register.
+    bool lacks_version(const std::string& service,
+                       const std::string& software_version) const;
 
     /// Applies the order at log index `at`. A document whose version is not
     /// higher than the one in force changes nothing.
--- a/libs/directory/include/limpet/directory/update.hpp
+++ b/libs/directory/include/limpet/directory/update.hpp
@@ -28,6 +28,14 @@
     std::string delta;
 };
 
+/// A router that began or ceased to subscribe to the sender.
+struct router_change
+{
+    vm_id vm;
+    data_centre_id data_centre;
+    bool is_gone = false;
+};
+
 /// One frame. Every field is optional.
 struct update
 {
@@ -50,8 +58,13 @@
     std::vector<vm_id> replicas;
     /// Number of routers that sent the sender a frame recently.
     std::uint32_t routers = 0;
-    /// Whether the list contains all registrations known to the sender.
+    /// Whether the lists contain all registrations and all routers known to the
+    /// sender.
     bool is_complete = false;
+    std::vector<router_change> router_changes;
+    /// Time for which the sender knows all registrations, also of servers that
+    /// have left since.
+    duration history{};
     std::vector<registration> registrations;
     /// Set in a frame that is for the exchange of loads and nothing else. A
     /// router that sends it relies on the receiver for the loads of others.
--- a/libs/directory/src/intent.cpp
+++ b/libs/directory/src/intent.cpp
@@ -1,5 +1,6 @@
 #include "directory_generated.h"
 #include "flatbuffer_text.hpp"
+#include "flatbuffer_versions.hpp"
 
 #include <limpet/directory/intent.hpp>
 
@@ -14,9 +15,14 @@
 bool is_known(std::uint8_t kind)
 {
     return kind >= static_cast<std::uint8_t>(command_kind::put_document) &&
-           kind <= static_cast<std::uint8_t>(command_kind::bring_back);
+           kind <= static_cast<std::uint8_t>(command_kind::add_version);
 }
 
+/// Several versions of a service mean the same as two, and more services than
+/// these have no entry.
+constexpr std::size_t max_versions_of_service = 8;
+constexpr std::size_t max_services = 1000;
+
 } // namespace
 
 std::string encode(const command& order)
@@ -33,6 +39,10 @@
         change = builder.CreateString(encode(order.change->delta));
     }
     const auto data_centre = builder.CreateString(order.data_centre);
+    const bool has_version = order.kind == command_kind::add_version;
+    const auto service = has_version ? builder.CreateString(order.service) : 0;
+    const auto software_version =
+        has_version ? builder.CreateString(order.software_version) : 0;
     builder.Finish(
         fb::Createcommand(builder,
                           static_cast<std::uint8_t>(order.kind),
@@ -40,7 +50,9 @@
                           document,
                           data_centre,
                           change,
-                          order.change ? order.change->base.get() : 0));
+                          order.change ? order.change->base.get() : 0,
+                          service,
+                          software_version));
     return bytes_of(builder);
 }
 
@@ -56,6 +68,8 @@
     order.kind = static_cast<command_kind>(from->kind());
     order.version = document_version(from->version());
     order.data_centre = text_or_empty(from->data_centre());
+    order.service = text_or_empty(from->service());
+    order.software_version = text_or_empty(from->software_version());
     if (from->document() != nullptr && from->document()->size() > 0)
     {
         auto document = stored_document::decompress(
@@ -97,6 +111,14 @@
     case command_kind::bring_back:
         result = result_of(taken_out.erase(order.data_centre) > 0);
         break;
+    case command_kind::add_version:
+        result =
+            result_of(lacks_version(order.service, order.software_version));
+        if (result == order_result::changed)
+        {
+            versions[order.service].insert(order.software_version);
+        }
+        break;
     }
     if (result == order_result::changed)
     {
@@ -105,6 +127,16 @@
     return result;
 }
 
+bool intent::lacks_version(const std::string& service,
+                           const std::string& software_version) const
+{
+    const auto found = versions.find(service);
+    return found == versions.end()
+               ? versions.size() < max_services
+               : found->second.size() < max_versions_of_service &&
+                     !found->second.contains(software_version);
+}
+
 order_result intent::put_document(const command& order)
 {
     if (document && order.version <= version)
@@ -138,8 +170,13 @@
     const auto document =
         state.document ? builder.CreateString(state.document->packed().bytes())
                        : flatbuffers::Offset<flatbuffers::String>();
-    builder.Finish(fb::Createsnapshot(
-        builder, state.index, state.version.get(), document, evacuated));
+    const auto versions = write_versions(builder, state.versions);
+    builder.Finish(fb::Createsnapshot(builder,
+                                      state.index,
+                                      state.version.get(),
+                                      document,
+                                      evacuated,
+                                      versions));
     return bytes_of(builder);
 }
 
@@ -171,6 +208,7 @@
             state.taken_out.insert(each->str());
         }
     }
+    state.versions = read_versions(from->versions());
     return state;
 }
 
--- a/libs/directory/src/update.cpp
+++ b/libs/directory/src/update.cpp
@@ -1,5 +1,6 @@
 #include "directory_generated.h"
 #include "flatbuffer_text.hpp"
+#include "flatbuffer_versions.hpp"
 
 #include <limpet/directory/update.hpp>
 
@@ -139,6 +140,7 @@
             out.taken_out.insert(each->str());
         }
     }
+    out.versions = read_versions(from.versions());
     return out;
 }
 
@@ -163,6 +165,7 @@
     const auto replica_list = write_texts(builder, replicas);
     flatbuffers::Offset<flatbuffers::String> document;
     text_list_offset evacuated;
+    flatbuffers::Offset<version_list> versions;
     if (from.orders)
     {
         if (from.orders->document)
@@ -171,6 +174,7 @@
                 builder.CreateString(from.orders->document->packed().bytes());
         }
         evacuated = write_texts(builder, from.orders->taken_out);
+        versions = write_versions(builder, from.orders->versions);
     }
     flatbuffers::Offset<flatbuffers::String> change;
     if (from.change)
@@ -184,6 +188,18 @@
         has_counts ? builder.CreateVector(columns.servers) : 0;
     const auto load_requests =
         has_counts ? builder.CreateVector(columns.requests) : 0;
+    std::vector<flatbuffers::Offset<fb::router_change>> router_changes;
+    router_changes.reserve(from.router_changes.size());
+    for (const router_change& each : from.router_changes)
+    {
+        router_changes.push_back(
+            fb::Createrouter_changeDirect(builder,
+                                          each.vm.get().c_str(),
+                                          each.data_centre.get().c_str(),
+                                          each.is_gone));
+    }
+    const auto router_list =
+        router_changes.empty() ? 0 : builder.CreateVector(router_changes);
     builder.Finish(fb::Createupdate(builder,
                                     from.subscribes,
                                     from.is_router,
@@ -203,7 +219,10 @@
                                     loads.resets,
                                     loads.wants_reset,
                                     load_servers,
-                                    load_requests));
+                                    load_requests,
+                                    router_list,
+                                    to_wire_milliseconds(from.history),
+                                    versions));
     return bytes_of(builder);
 }
 
@@ -223,6 +242,7 @@
     out.is_sure = from->is_sure();
     out.routers = from->routers();
     out.is_complete = from->is_complete();
+    out.history = milliseconds(from->history_ms());
     if (from->has_intent())
     {
         auto orders = read_intent(*from);
@@ -252,6 +272,16 @@
             out.replicas.emplace_back(each->str());
         }
     }
+    if (from->router_changes() != nullptr)
+    {
+        for (const auto* each : *from->router_changes())
+        {
+            out.router_changes.push_back(
+                {vm_id(text_or_empty(each->vm())),
+                 data_centre_id(text_or_empty(each->data_centre())),
+                 each->is_gone()});
+        }
+    }
     if (from->registrations() != nullptr)
     {
         for (const auto* each : *from->registrations())
--- a/libs/directory/test/intent_test.cpp
+++ b/libs/directory/test/intent_test.cpp
@@ -37,6 +37,15 @@
     return order;
 }
 
+command make_version_order(std::string service, std::string version)
+{
+    command order;
+    order.kind = command_kind::add_version;
+    order.service = std::move(service);
+    order.software_version = std::move(version);
+    return order;
+}
+
 std::string text_of(const intent& state)
 {
     return state.document->text();
@@ -61,6 +70,35 @@
     BOOST_TEST(state.index == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(versions_of_servers_are_kept)
+{
+    intent state;
+    BOOST_TEST(state.lacks_version("s", "v1"));
+    const auto order = decode_command(encode(make_version_order("s", "v1")));
+    BOOST_REQUIRE(is_ok(order));
+    BOOST_TEST((state.apply(3, value_of(order)) == order_result::changed));
+    BOOST_TEST(!state.lacks_version("s", "v1"));
+    BOOST_TEST((state.apply(4, value_of(order)) == order_result::unchanged));
+    state.apply(5, make_version_order("s", "v2"));
+    const version_map expected = {{"s", {"v1", "v2"}}};
+    const auto restored = decode_intent(encode(state));
+    BOOST_REQUIRE(is_ok(restored));
+    BOOST_TEST((value_of(restored).versions == expected));
+    BOOST_TEST(value_of(restored).index == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(flood_of_versions_is_bounded)
+{
+    intent state;
+    for (int i = 0; i < 5000; ++i)
+    {
+        state.apply(i + 1, make_version_order("s", std::to_string(i)));
+        state.apply(i + 1, make_version_order(std::to_string(i), "v"));
+    }
+    BOOST_TEST(state.versions.size() == 1000U);
+    BOOST_TEST(state.versions["s"].size() == 8U);
+}
+
 BOOST_AUTO_TEST_CASE(first_document_may_have_version_zero)
 {
     intent state;
@@ -197,6 +235,8 @@
     frame.routers = 8;
     frame.replicas = {vm_id("10.0.0.1"), vm_id("10.0.0.2")};
     frame.is_complete = true;
+    frame.router_changes = {{vm_id("10.0.0.7"), data_centre_id("z"), true}};
+    frame.history = seconds(3);
     registration row;
     row.id = engine_id("i-1");
     row.service = "s";
@@ -210,6 +250,7 @@
     row.heard_at = sent - seconds(1);
     frame.registrations = {row};
     intent orders;
+    orders.apply(11, make_version_order("s", "v1.1"));
     orders.apply(12, make_put(3, "three"));
     frame.orders = orders;
     frame.intent_index = orders.index;
@@ -218,8 +259,14 @@
     const update& result = value_of(decoded);
     BOOST_TEST(result.routers == 8U);
     BOOST_TEST(result.replicas.size() == 2U);
+    BOOST_REQUIRE(result.router_changes.size() == 1U);
+    BOOST_TEST(result.router_changes[0].vm.get() == "10.0.0.7");
+    BOOST_TEST(result.router_changes[0].data_centre.get() == "z");
+    BOOST_TEST(result.router_changes[0].is_gone);
+    BOOST_TEST((result.history == seconds(3)));
     BOOST_TEST(result.orders->index == 12U);
     BOOST_TEST(text_of(*result.orders) == "three");
+    BOOST_TEST(result.orders->versions.at("s").contains("v1.1"));
     BOOST_REQUIRE(result.registrations.size() == 1U);
     BOOST_TEST((result.registrations[0].cold_until == received + seconds(3)));
     BOOST_TEST((result.registrations[0].heard_at == received - seconds(1)));
--- a/libs/wire/include/limpet/wire/frame.hpp
+++ b/libs/wire/include/limpet/wire/frame.hpp
@@ -25,9 +25,10 @@
     control = 5,    ///< Commands, claims and their answers.
     config = 6,     ///< Configuration distribution.
     directory = 7,  ///< Operators' orders, registrations of servers.
+    origins = 8,    ///< What began the streams, between routers.
 };
 
-constexpr std::size_t channel_count = 8;
+constexpr std::size_t channel_count = 9;
 
 /// Returns the channel's name as used in metric labels.
 std::string_view to_string(channel value) noexcept;
