Soak: servers of two versions, streams without length, callers that resume

Held: no stream has events of two versions over all attempts (stricter than the users' rule), none has a gap, and where it is owed most streams that are taken up go on.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,7 @@
 
 import argparse
 import asyncio
+import collections
 import os
 import random
 import shutil
@@ -62,6 +63,7 @@
     record = world.record
     served = sum(record.served.values())
     print(f"seed {seed}: {len(record.sent)} requests, {served} served, "
+          f"resumed: {dict(collections.Counter(record.resumed))}, "
           f"{len(record.broken)} promises broken", flush=True)
     if record.broken or is_verbose:
         for line in record.events:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -59,6 +59,11 @@
     def caller_address(self, router):
         return self.proxies["routers"][router].listen
 
+    def count_ready(self, versions):
+        """Returns the number of ready servers of streams of the versions."""
+        return sum(each.state == "ready" and each.service == "model" and
+                   each.version in versions for each in self.servers)
+
     async def control_call(self, method, path, body, limit=1.0):
         """Calls a replica, any of them, and follows its word on the leader."""
         name = self.random.choice(list(self.proxies["replicas"]))
@@ -176,6 +181,7 @@
             if not await self._serves(name, until):
                 self.record.fail("RECOVER", f"{name} does not serve again")
         await self.operator.check_read_back()
+        self.record.check_resumed()
         self.is_over = True
         await asyncio.gather(*self.tasks)
         ends = await asyncio.gather(*(
