HTTP client: answers cut after each of their bytes

Both interfaces read servers' answers with this client. Each of four framings (length, chunks with an extension, chunks with a trailer, end of the connection) is cut after each byte, and the connection closed or reset: the answer is whole or an error, but for a body that ends with its connection, which is closed.

--- a/libs/gateway/test/endless_answers_test.cpp
+++ b/libs/gateway/test/endless_answers_test.cpp
@@ -73,7 +73,7 @@
     {
         server.set_endless_answer(response.bytes, response.repeated);
         add_raw_server(server.endpoint());
-        const std::string result = run().front();
+        std::string result = run().front();
         while (server.open_connections() > 0)
         {
             context.run_one();
--- a/libs/http/test/client_test.cpp
+++ b/libs/http/test/client_test.cpp
@@ -13,7 +13,7 @@
 {
 
 /// Accepts connections in turn, takes a request from each and sends back given
-/// bytes, then closes.
+/// bytes, then closes or resets the connection.
 struct scripted_server
 {
     explicit scripted_server(boost::asio::io_context& context)
@@ -22,13 +22,13 @@
     }
 
     /// The future is ready once the connection is closed.
-    std::future<void> answer_next(std::string bytes)
+    std::future<void> answer_next(std::string bytes, bool resets = false)
     {
         const auto closed = std::make_shared<std::promise<void>>();
         acceptor.async_accept(
-            [bytes = std::move(bytes),
-             closed](boost::system::error_code failure,
-                     boost::asio::ip::tcp::socket socket)
+            [bytes = std::move(bytes), resets, closed](
+                boost::system::error_code failure,
+                boost::asio::ip::tcp::socket socket)
             {
                 if (failure)
                 {
@@ -40,6 +40,11 @@
                                         "\r\n\r\n",
                                         failure);
                 boost::asio::write(socket, boost::asio::buffer(bytes), failure);
+                if (resets)
+                {
+                    socket.set_option(
+                        boost::asio::socket_base::linger(true, 0));
+                }
                 socket.close();
                 closed->set_value();
             });
@@ -83,6 +88,32 @@
      true},
 };
 
+/// A whole answer, of which the body "ok!" begins at the byte.
+struct whole_answer
+{
+    std::string bytes;
+    std::size_t body_begin;
+    /// Whether the body ends with the connection.
+    bool ends_with_connection;
+};
+
+whole_answer make_whole(const std::string& fields,
+                        const std::string& body,
+                        bool ends_with_connection = false)
+{
+    const std::string begin = head + fields + "\r\n";
+    return {begin + body, begin.size(), ends_with_connection};
+}
+
+const whole_answer whole_answers[] = {
+    make_whole("Content-Length: 3\r\n", "ok!"),
+    make_whole("Transfer-Encoding: chunked\r\n",
+               "1;a=b\r\no\r\n2\r\nk!\r\n0\r\n\r\n"),
+    make_whole("Transfer-Encoding: chunked\r\n",
+               "3\r\nok!\r\n0\r\nTrailer: x\r\n\r\n"),
+    make_whole("", "ok!", true),
+};
+
 using send_result =
     std::variant<std::unique_ptr<response_stream>, request_failure>;
 
@@ -152,6 +183,46 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(client_answer_cut_at_any_byte_is_whole_or_an_error)
+{
+    scripted_server peer(context);
+    endpoint = peer.acceptor.local_endpoint();
+    for (const whole_answer& item : whole_answers)
+    {
+        for (std::size_t cut = 0; cut <= 2 * item.bytes.size() + 1; ++cut)
+        {
+            const std::size_t size = cut / 2;
+            const bool resets = cut % 2 == 1;
+            auto closed = peer.answer_next(item.bytes.substr(0, size), resets);
+            const auto result = fetch(make_request("GET", "/"));
+            const auto* answer = std::get_if<response>(&result);
+            const bool has_end = size == item.bytes.size();
+            const bool ends_early =
+                item.ends_with_connection && !resets && size >= item.body_begin;
+            BOOST_TEST_CONTEXT(size << " bytes of " << item.bytes << ", reset "
+                                    << resets)
+            {
+                if (answer != nullptr)
+                {
+                    BOOST_TEST(((has_end && !item.ends_with_connection) ||
+                                ends_early));
+                    BOOST_TEST(answer->body ==
+                               (ends_early
+                                    ? item.bytes.substr(item.body_begin,
+                                                        size - item.body_begin)
+                                    : "ok!"));
+                }
+                else
+                {
+                    // A reset may overtake the last bytes.
+                    BOOST_TEST(((!has_end && !ends_early) || resets));
+                }
+            }
+            closed.get();
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(client_random_damage_gives_whole_answer_or_error)
 {
     scripted_server peer(context);
