A server's former version counts, and replaced replicas do not

- A server that starts again under its id with another version replaced its former one in the pool, so that the former was forgotten at once.
Versions that a server had are now kept for 60 s (only_version_counts_what_a_restarted_server_had; no such function was tested before, the test was not run on the former code).
- A router was in touch if most replicas that it ever knew were live.
After as many replacements as there are members it would never have been, would have asked for each resumed stream and shared all.
It now goes by the members that the live replicas name.

--- a/libs/gateway/include/limpet/gateway/server_pool.hpp
+++ b/libs/gateway/include/limpet/gateway/server_pool.hpp
@@ -196,6 +196,14 @@
         std::unordered_map<std::uint64_t, time_point> parts;
     };
 
+    /// A version that a server had before it started again with another.
+    struct former_version
+    {
+        origins::service_key service;
+        origins::version_key version;
+        time_point left_at;
+    };
+
     /// Reachability of another data centre from this router.
     struct reachability
     {
@@ -204,6 +212,7 @@
         time_point backoff_until{};
     };
 
+    void record_former_version(const server_record& former, time_point now);
     static bool was_registered_since(const server_record& each,
                                      time_point since);
     /// Returns when this router last sent the part to the server, or nothing if
@@ -247,6 +256,7 @@
 
     data_centre_id m_home;
     std::map<engine_id, server_record> m_servers;
+    std::vector<former_version> m_former_versions;
     directory::load_peer m_load_peer;
     time_point m_load_peer_heard_at{};
     std::shared_ptr<const directory::route_table> m_plan;
--- a/libs/gateway/src/directory_client.cpp
+++ b/libs/gateway/src/directory_client.cpp
@@ -171,7 +171,16 @@
 
 bool directory_client::is_in_touch() const
 {
-    return 2 * live_replica_count() > m_replicas.size();
+    std::set<vm_id> members;
+    for (const auto& [vm, each] : m_replicas)
+    {
+        if (each.is_live)
+        {
+            members.insert(vm);
+            members.insert(each.members.begin(), each.members.end());
+        }
+    }
+    return 2 * live_replica_count() > members.size();
 }
 
 std::optional<time_point> directory_client::history_begins_at() const
@@ -396,6 +405,10 @@
     {
         known.history_begins_at = known.heard_at - update.history;
     }
+    if (!update.replicas.empty())
+    {
+        known.members = update.replicas;
+    }
     merge_routers(known, update);
     if (update.routers > 0)
     {
--- a/libs/gateway/src/directory_client.hpp
+++ b/libs/gateway/src/directory_client.hpp
@@ -18,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace limpet::gateway
 {
@@ -88,8 +89,9 @@
     /// Returns the number of replicas that sent a frame within the timeout.
     std::size_t live_replica_count() const;
 
-    /// Returns whether most replicas are live. The others cannot have orders
-    /// in force that this gateway is not about to receive.
+    /// Returns whether most members of the control group, as the live replicas
+    /// name them, are live. The others cannot have orders in force that this
+    /// gateway is not about to receive.
     bool is_in_touch() const;
 
     /// Returns since when this gateway knows of all registrations, also of
@@ -110,6 +112,8 @@
         time_point history_begins_at{};
         /// The routers that subscribe to it.
         origins::router_map routers;
+        /// Members of the control group, as it names them.
+        std::vector<vm_id> members;
     };
 
     void add_replica(const vm_id& vm);
--- a/libs/gateway/src/server_pool.cpp
+++ b/libs/gateway/src/server_pool.cpp
@@ -277,20 +277,23 @@
 std::optional<origins::version_key>
 server_pool::only_version(origins::service_key service, time_point since) const
 {
-    std::optional<origins::version_key> only;
+    std::set<origins::version_key> versions;
     for (const auto& [id, each] : m_servers)
     {
-        if (each.service != service || !was_registered_since(each, since))
+        if (each.service == service && was_registered_since(each, since))
         {
-            continue;
+            versions.insert(each.version);
         }
-        if (only && *only != each.version)
+    }
+    for (const former_version& each : m_former_versions)
+    {
+        if (each.service == service && each.left_at >= since)
         {
-            return std::nullopt;
+            versions.insert(each.version);
         }
-        only = each.version;
     }
-    return only;
+    return versions.size() == 1 ? std::optional(*versions.begin())
+                                : std::nullopt;
 }
 
 std::set<origins::service_key> server_pool::services() const
--- a/libs/gateway/src/server_pool_events.cpp
+++ b/libs/gateway/src/server_pool_events.cpp
@@ -26,6 +26,9 @@
 /// rate, and the half-life with which the average decays.
 constexpr double failure_rate_weight = 0.2;
 constexpr duration failure_rate_half_life = seconds(4);
+/// Time for which a server's former version is remembered, as long as replicas
+/// remember servers that have left.
+constexpr duration former_version_retention = seconds(60);
 /// Most prompt parts tracked for each server.
 constexpr std::size_t max_tracked_parts = 4096;
 
@@ -51,6 +54,22 @@
     return "unknown";
 }
 
+void server_pool::record_former_version(const server_record& former,
+                                        time_point now)
+{
+    std::erase_if(m_former_versions,
+                  [now](const former_version& each)
+                  {
+                      return each.left_at + former_version_retention < now;
+                  });
+    m_former_versions.push_back(
+        {former.service,
+         former.version,
+         former.registration.state == directory::server_state::gone
+             ? former.left_at
+             : now});
+}
+
 void server_pool::apply(const directory::registration& registration,
                         time_point now)
 {
@@ -68,6 +87,11 @@
                   {{"engine", registration.id.get()},
                    {"reason", error_of(address).message}});
     }
+    if (!is_new && (server.registration.service != registration.service ||
+                    server.registration.version != registration.version))
+    {
+        record_former_version(server, now);
+    }
     if (server.registration.born_ms != registration.born_ms)
     {
         // A restarted server has none of its former state. This router's
--- a/libs/gateway/test/server_pool_test.cpp
+++ b/libs/gateway/test/server_pool_test.cpp
@@ -420,4 +420,39 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(only_version_counts_servers_that_have_left)
+{
+    const auto service = origins::make_service_key("s");
+    const auto version = origins::make_version_key("s", "");
+    const auto since = [](int ago)
+    {
+        return start_time + seconds(100) - seconds(ago);
+    };
+    BOOST_TEST((pool.only_version(service, since(50)) == version));
+    directory::registration other = make_registration(9);
+    other.version = "v2";
+    pool.apply(other, start_time + seconds(60));
+    BOOST_TEST(!pool.only_version(service, since(50)).has_value());
+    other.state = directory::server_state::gone;
+    pool.apply(other, start_time + seconds(70));
+    BOOST_TEST(!pool.only_version(service, since(31)).has_value());
+    BOOST_TEST((pool.only_version(service, since(29)) == version));
+}
+
+BOOST_AUTO_TEST_CASE(only_version_counts_what_a_restarted_server_had)
+{
+    const auto service = origins::make_service_key("s");
+    for (int i = 0; i < 6; ++i)
+    {
+        directory::registration restarted = make_registration(i);
+        restarted.born_ms = 2;
+        restarted.version = "v2";
+        pool.apply(restarted, start_time + seconds(10 + i));
+    }
+    BOOST_TEST(
+        !pool.only_version(service, start_time + seconds(15)).has_value());
+    BOOST_TEST((pool.only_version(service, start_time + seconds(16)) ==
+                origins::make_version_key("s", "v2")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
