--- a/libs/origins/test/origin_exchange_test.cpp
+++ b/libs/origins/test/origin_exchange_test.cpp
@@ -76,9 +76,9 @@
     }
 
     void send(const vm_id& from,
-              std::vector<origin_exchange::addressed_message> messages)
+              const std::vector<origin_exchange::addressed_message>& messages)
     {
-        for (auto& [to, each] : messages)
+        for (const auto& [to, each] : messages)
         {
             const std::string bytes = encode(each);
             sent_bytes += bytes.size();
