A response body without progress times out though bytes come

Bytes without end may also come slowly and outside of the body: in the extension of a chunk or in a trailer. Each read began the timeout anew, so that a byte every few seconds held the request, its server's slot and its caller past the deadline, until 20 KB had come.

client_body_without_progress_times_out_though_bytes_come (a byte each millisecond) failed before: "the answer's head is too large" after 17.7 s in place of a time-out after 20 ms. In heads the timeout was one for all bytes already.

--- a/libs/http/include/limpet/http/client.hpp
+++ b/libs/http/include/limpet/http/client.hpp
@@ -31,7 +31,7 @@
     /// does not acknowledge, also if it is only being read; 0 for the
     /// system's. A server that is merely slow does not count.
     duration silence_timeout{};
-    /// Longest time without a byte of the answer after its head.
+    /// Longest time for the next part of an answer's body to arrive.
     duration read_timeout = seconds(30);
     std::size_t idle_connections_per_endpoint = 32;
     /// Longest time that a connection is kept without a request. Shorter than
--- a/libs/http/src/received_response.cpp
+++ b/libs/http/src/received_response.cpp
@@ -98,9 +98,13 @@
 received_response::read_some()
 {
     std::string& arrived = m_parser->get().body();
-    while (arrived.empty() && !m_released)
+    if (arrived.empty() && !m_released)
     {
+        // Once for the part, as bytes outside of the body may come for ever.
         m_deadline->expires_after(m_read_timeout);
+    }
+    while (arrived.empty() && !m_released)
+    {
         std::optional<error> failure = co_await advance();
         if (failure)
         {
--- a/libs/http/test/client_test.cpp
+++ b/libs/http/test/client_test.cpp
@@ -54,6 +54,51 @@
     boost::asio::ip::tcp::acceptor acceptor;
 };
 
+/// Answers with a chunk whose extension never ends, a byte each millisecond.
+struct dripping_server
+{
+    explicit dripping_server(boost::asio::io_context& context)
+        : acceptor(context, {boost::asio::ip::address_v4::loopback(), 0})
+    {
+        boost::asio::co_spawn(context, answer(), boost::asio::detached);
+    }
+
+    boost::asio::awaitable<void> answer()
+    {
+        constexpr auto as_result =
+            boost::asio::as_tuple(boost::asio::use_awaitable);
+        auto [failure, socket] = co_await acceptor.async_accept(as_result);
+        const std::string begin =
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;";
+        co_await boost::asio::async_write(
+            socket, boost::asio::buffer(begin), as_result);
+        boost::asio::steady_timer timer(acceptor.get_executor());
+        while (!failure)
+        {
+            timer.expires_after(milliseconds(1));
+            co_await timer.async_wait(as_result);
+            const auto [write_failure, written] =
+                co_await boost::asio::async_write(
+                    socket, boost::asio::buffer("x", 1), as_result);
+            failure = write_failure;
+        }
+    }
+
+    /// Returns the error that ends the reading of an answer's body.
+    boost::asio::awaitable<error> read_body(client& caller, duration timeout)
+    {
+        auto sent = co_await caller.send(
+            acceptor.local_endpoint(), make_request("GET", "/"), seconds(10));
+        auto& answer = std::get<std::unique_ptr<response_stream>>(sent);
+        answer->set_read_timeout(timeout);
+        const auto part = co_await answer->read_some();
+        co_return is_ok(part) ? error{error_code::internal, "a part was read"}
+                              : error_of(part);
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor;
+};
+
 struct answer_case
 {
     std::string bytes;
@@ -297,6 +342,14 @@
     BOOST_TEST(failure.may_have_reached_server);
 }
 
+BOOST_AUTO_TEST_CASE(client_body_without_progress_times_out_though_bytes_come)
+{
+    dripping_server peer(context);
+    endpoint = peer.acceptor.local_endpoint();
+    const error failure = run(peer.read_body(*caller, milliseconds(20)));
+    BOOST_TEST((failure.code == error_code::timeout), failure.message);
+}
+
 BOOST_AUTO_TEST_CASE(endpoint_text_is_read_back_or_refused)
 {
     for (const char* text : {"127.0.0.1:80", "[::1]:8080"})
--- a/libs/http/test/loopback.hpp
+++ b/libs/http/test/loopback.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
