--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -35,6 +35,8 @@
         self.state = "ready"
         self.failing = 0.0
         self.shedding = 0.0
+        self.limit = None  # text of the limit that its answers name
+        self.arrivals = []  # (when, router) of each request
         self.active = 0
         self.requests = set()  # those that it runs
         self.writers = set()
@@ -119,11 +121,14 @@
             await self._send(writer, 503, peer.not_run_headers(request), b"")
             return
         self._check_drain(request)
+        self.arrivals.append(
+            (self.world.record.now(),
+             self.world.record.sent.get(request, {}).get("router")))
         self.world.record.run(self.name, self.service, message, method, path,
                               body)
         sent = self.world.record.sent.get(request, {})
         seal = f"{self.name}.{request}.{self.random.randrange(1 << 30)}"
-        answer = peer.answer_headers(request, seal, self.active)
+        answer = peer.answer_headers(request, seal, self.active, self.limit)
         self.active += 1
         self.requests.add(request)
         try:
