Incident: requests that crash servers, timeline and failing test

What callers saw: sound requests of the same service were refused or cut off for as long as the request came.

No logic changes.

--- a/tests/soak/crashing_part.py
+++ b/tests/soak/crashing_part.py
@@ -42,7 +42,7 @@
         self.late = []
         self.senders = []
         world.crashing_part = PART
-        world.crash_of_part = self.crash
+        world.crash_under = self.crash
 
     def bound_passed_at(self):
         """Returns when routers must all have stopped sending the part on."""
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -132,18 +132,18 @@
         self.active += 1
         self.requests.add(request)
         try:
-            if self.world.crashing_part in message["parts"]:
-                await self.world.crash_of_part(self, request)
+            crashes = self.world.crashing_part in message["parts"] or \
+                path in self.world.crashing_paths
+            if crashes and not self.world.crashes_amid_answer:
+                await self.world.crash_under(self, request)
             if self.random.random() < self.failing:
                 await self._fail(writer, request, seal, answer)
             elif sent.get("events"):
                 await self._stream(writer, request, seal, answer,
-                                   message["last_event"], sent["events"])
+                                   message["last_event"], sent["events"],
+                                   crashes)
             else:
-                await asyncio.sleep(self.random.uniform(0.005, 0.06))
-                text = f"{request} by {self.name}".encode() * 20
-                self._seal(seal, request, 200, text)
-                await self._send(writer, 200, answer, text)
+                await self._send_text(writer, request, seal, answer, crashes)
         finally:
             self.active -= 1
             self.requests.discard(request)
@@ -160,7 +160,19 @@
             transport.reset(writer)
             raise transport.Broken("aborted on purpose")
 
-    async def _stream(self, writer, request, seal, answer, last, count):
+    async def _send_text(self, writer, request, seal, answer, crashes):
+        await asyncio.sleep(self.random.uniform(0.005, 0.06))
+        text = f"{request} by {self.name}".encode() * 20
+        self._seal(seal, request, 200, text)
+        if crashes:
+            headers = {**answer, "Content-Length": len(text)}
+            writer.write(transport.head_text("HTTP/1.1 200 x", headers)
+                         + text[:len(text) // 2])
+            await self.world.crash_under(self, request)
+        await self._send(writer, 200, answer, text)
+
+    async def _stream(self, writer, request, seal, answer, last, count,
+                      crashes=False):
         self._seal(seal, request, 200, None)
         is_framed = self.random.random() >= UNFRAMED_SHARE
         head = {**answer, "Content-Type": "text/event-stream",
@@ -177,6 +189,8 @@
             writer.write(b"%x\r\n%s\r\n" % (len(event), event)
                          if is_framed else event)
             await writer.drain()
+            if crashes:
+                await self.world.crash_under(self, request)
             if number == breaks_at:
                 raise transport.Broken("broken off on purpose")
         if is_framed:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -34,9 +34,12 @@
         self.tenants = {f"tenant-{n}": [f"key-{n}"] for n in range(1, 5)}
         self.services = list(SERVICES)
         self.is_over = False
-        # A part of prompts that crashes servers, and what to do then.
+        # A part of prompts and paths of requests that crash servers, what to
+        # do then, and whether the crash comes after a part of the answer.
         self.crashing_part = None
-        self.crash_of_part = None
+        self.crashing_paths = set()
+        self.crash_under = None
+        self.crashes_amid_answer = False
         self.part_crashes = []  # (when, version of the server)
         self.routers, self.replicas, self.servers = {}, {}, []
         self.proxies = {"servers": {}, "replicas": {}, "routers": {},
