Quarantine: a first event does not acquit a request

Cause: the first event was taken as proof that the server lives. Evidence: of the same crashes those without a byte were held, those after an event were not.

Change: a request is sound once its answer is complete or its stream goes on 250 ms after the first event; what is cut off before is reported.

--- a/bench/suites/quarantine.cpp
+++ b/bench/suites/quarantine.cpp
@@ -29,6 +29,9 @@
 constexpr duration run_length = seconds(25);
 constexpr duration update_interval = milliseconds(100);
 constexpr duration server_down_time = milliseconds(3500);
+/// Time of an answer after its first event until its request is known to be
+/// sound, or ends.
+constexpr duration survival_time = milliseconds(250);
 /// Time in which routers must hear of the crashes.
 constexpr duration contact_time = seconds(3);
 constexpr std::uint64_t first_parts = 3;
@@ -260,11 +263,13 @@
         m_result.late += is_crashing && is_known ? 1 : 0;
         const duration time_to_first_event =
             milliseconds(50 + m_random.below(250));
-        m_flights.push_back({router,
-                             server,
-                             std::move(parts),
-                             m_now + time_to_first_event,
-                             is_crashing});
+        m_flights.push_back(
+            {router,
+             server,
+             std::move(parts),
+             m_now + time_to_first_event +
+                 (is_crashing ? duration::zero() : survival_time),
+             is_crashing});
     }
 
     void begin_answers()
@@ -291,7 +296,7 @@
                                   m_now);
                 continue;
             }
-            router.on_begun(begun.parts, m_now);
+            router.on_sound(begun.parts, m_now);
             router.on_answer(m_servers[begun.server].key, m_now);
         }
     }
--- a/libs/gateway/src/quarantine_service.cpp
+++ b/libs/gateway/src/quarantine_service.cpp
@@ -72,10 +72,10 @@
     schedule();
 }
 
-void quarantine_service::on_begun(
+void quarantine_service::on_sound(
     const std::vector<quarantine::part_key>& parts)
 {
-    m_quarantine.on_begun(parts, monotonic_clock::now());
+    m_quarantine.on_sound(parts, monotonic_clock::now());
     schedule();
 }
 
--- a/libs/gateway/src/quarantine_service.hpp
+++ b/libs/gateway/src/quarantine_service.hpp
@@ -50,7 +50,7 @@
     check(const std::vector<quarantine::part_key>& parts) const;
     quarantine::admission admit(const std::vector<quarantine::part_key>& parts);
     void on_cut_off(const quarantine::cut_off_request& request);
-    void on_begun(const std::vector<quarantine::part_key>& parts);
+    void on_sound(const std::vector<quarantine::part_key>& parts);
     void on_answer(quarantine::server_key server);
 
     void set_routers(std::set<vm_id> routers);
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -41,6 +41,10 @@
 constexpr double prefill_tokens_per_cost = 4096;
 /// Number of unreachable servers after which a request is refused.
 constexpr unsigned max_unreached_attempts = 4;
+/// Time for which a server goes on with a stream after the first event until
+/// the request counts as sound: a request that crashes servers may do so when
+/// the answer has begun, and bytes sent before the crash arrive meanwhile.
+constexpr duration survival_time = milliseconds(250);
 /// Time before the deadline at which an attempt is given up, so that the final
 /// response is sent in time.
 constexpr duration response_margin = milliseconds(20);
@@ -457,18 +461,31 @@
     return !admission.is_admitted;
 }
 
-void request_handler::record_begin()
+void request_handler::record_sound()
 {
-    if (!m_attempt_begun)
+    if (!m_is_attempt_sound)
     {
-        m_attempt_begun = true;
-        m_state.quarantine->on_begun(m_quarantine_keys);
+        m_is_attempt_sound = true;
+        m_state.quarantine->on_sound(m_quarantine_keys);
+    }
+}
+
+void request_handler::record_event()
+{
+    const time_point now = monotonic_clock::now();
+    if (!m_attempt_event_at)
+    {
+        m_attempt_event_at = now;
+    }
+    else if (now >= *m_attempt_event_at + survival_time)
+    {
+        record_sound();
     }
 }
 
 void request_handler::record_cut_off()
 {
-    if (!m_attempt_begun)
+    if (!m_is_attempt_sound)
     {
         m_state.quarantine->on_cut_off({m_server_start_key, m_quarantine_keys});
     }
@@ -483,7 +500,8 @@
     m_server_start_key = server.start_key;
     m_assessment = server.assessment;
     m_reported_load.reset();
-    m_attempt_begun = false;
+    m_is_attempt_sound = false;
+    m_attempt_event_at.reset();
     m_sent_at = monotonic_clock::now();
     m_state.pool.on_begin(server.id, m_query, m_sent_at);
     forward_order order;
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -93,10 +93,13 @@
     find_server_if_admitted();
     /// Returns whether the request is refused because of a part of its prompt.
     bool is_refused_by(const quarantine::admission& admission);
-    /// Records that the last attempt's server began to answer.
-    void record_begin();
+    /// Records that the last attempt's server does not crash under the request.
+    void record_sound();
+    /// Records the same if the server lives on after the first event of its
+    /// answer.
+    void record_event();
     /// Records that a server closed the connection of an attempt, unless it had
-    /// begun to answer.
+    /// shown before that the request is sound.
     void record_cut_off();
     void watch_caller();
     void log_end(std::string_view outcome);
@@ -135,8 +138,10 @@
     /// acknowledging data.
     bool m_acknowledgement_timed_out = false;
     bool m_stream_begun = false;
-    /// Whether the server of the last attempt has begun to answer.
-    bool m_attempt_begun = false;
+    /// Whether the server of the last attempt has shown that the request does
+    /// not crash it, and when the first event of its answer arrived.
+    bool m_is_attempt_sound = false;
+    std::optional<time_point> m_attempt_event_at;
     /// Of the last response: what marks the end of its body, and in a stream
     /// the bytes after the last whole event.
     std::optional<http::body_delimiter> m_delimiter;
--- a/libs/gateway/src/request_handler_response.cpp
+++ b/libs/gateway/src/request_handler_response.cpp
@@ -158,7 +158,7 @@
     }
     if (buffered.head.status < first_redirection_status)
     {
-        record_begin();
+        record_sound();
     }
     m_status = buffered.head.status;
     m_first_byte_at = monotonic_clock::now();
@@ -200,6 +200,7 @@
                 break;
             }
             m_open_response = nullptr;
+            record_sound();
             co_await begin_stream(answer->head());
             co_await m_exchange.end_stream();
             co_return attempt_result::finished;
@@ -214,7 +215,7 @@
         if (!value_of(batch).bytes.empty())
         {
             has_events = true;
-            record_begin();
+            record_event();
             m_state.quarantine->on_answer(m_server_start_key);
             co_await begin_stream(answer->head());
             co_await m_exchange.write(value_of(batch).bytes);
--- a/libs/quarantine/include/limpet/quarantine/crash_evidence.hpp
+++ b/libs/quarantine/include/limpet/quarantine/crash_evidence.hpp
@@ -43,7 +43,7 @@
     duration retention = seconds(60);
 };
 
-/// Requests whose connection was closed before their server began to answer, as
+/// Requests whose connection was closed before they were known to be sound, as
 /// this and other routers reported them. A part is held responsible if servers
 /// crashed repeatedly under requests with it and no request with it was
 /// answered in between; most parts of such requests are shared with sound ones,
@@ -75,8 +75,8 @@
 
     void add(const cut_off_request& request, time_point now);
 
-    /// Records that a server began to answer a request with the part.
-    void record_sound(part_key part, time_point began_at);
+    /// Records that a server answered a request with the part and lived on.
+    void record_sound(part_key part, time_point answered_at);
 
     /// Returns the parts of which this router alone may know that they are
     /// sound, and that others may suspect: of those that occur in crashes of
@@ -84,7 +84,7 @@
     std::vector<sound_part> unshared_sound_parts(time_point now) const;
 
     /// Records that another router reported the part as sound.
-    void record_shared_sound(part_key part, time_point began_at);
+    void record_shared_sound(part_key part, time_point answered_at);
 
     /// Returns the numbers of reports and of the parts that occur in them.
     std::size_t report_count() const noexcept
@@ -130,7 +130,7 @@
     /// What is known of a part that occurs in a report.
     struct part_record
     {
-        /// When servers began to answer requests with the part: as this router
+        /// When servers answered requests with the part: as this router
         /// saw it, and as routers told each other.
         std::optional<time_point> sound_at;
         std::optional<time_point> shared_sound_at;
--- a/libs/quarantine/include/limpet/quarantine/message.hpp
+++ b/libs/quarantine/include/limpet/quarantine/message.hpp
@@ -41,7 +41,8 @@
 /// Hash of a server's id and start. A restarted server has another key.
 using server_key = strong_type<struct server_key_tag, std::uint64_t>;
 
-/// A request whose connection the server closed before it began to answer.
+/// A request whose connection the server closed before the request was known to
+/// be sound.
 struct cut_off_request
 {
     server_key server;
@@ -50,11 +51,11 @@
     std::vector<part_key> parts;
 };
 
-/// A part for which a server has begun to answer.
+/// A part with which a server answered a request and lived on.
 struct sound_part
 {
     part_key part;
-    /// Time since the last such answer began.
+    /// Time since the last such answer.
     duration age{};
 };
 
--- a/libs/quarantine/include/limpet/quarantine/part_quarantine.hpp
+++ b/libs/quarantine/include/limpet/quarantine/part_quarantine.hpp
@@ -86,8 +86,8 @@
     /// began to answer.
     void on_cut_off(const cut_off_request& request, time_point now);
 
-    /// Records that a server began to answer a request with the parts.
-    void on_begun(const std::vector<part_key>& parts, time_point now);
+    /// Records that a server answered a request with the parts and lived on.
+    void on_sound(const std::vector<part_key>& parts, time_point now);
 
     /// Returns whether an answer of the server would show that it lives.
     bool is_suspected(server_key server) const
--- a/libs/quarantine/src/crash_evidence.cpp
+++ b/libs/quarantine/src/crash_evidence.cpp
@@ -33,12 +33,12 @@
     m_last_report_at = now;
 }
 
-void crash_evidence::record_sound(part_key part, time_point began_at)
+void crash_evidence::record_sound(part_key part, time_point answered_at)
 {
     const auto found = m_parts.find(part);
     if (found != m_parts.end())
     {
-        found->second.sound_at = began_at;
+        found->second.sound_at = answered_at;
     }
 }
 
@@ -76,7 +76,7 @@
     return result;
 }
 
-void crash_evidence::record_shared_sound(part_key part, time_point began_at)
+void crash_evidence::record_shared_sound(part_key part, time_point answered_at)
 {
     const auto found = m_parts.find(part);
     if (found == m_parts.end())
@@ -84,7 +84,7 @@
         return;
     }
     auto& known = found->second.shared_sound_at;
-    known = known ? std::max(*known, began_at) : began_at;
+    known = known ? std::max(*known, answered_at) : answered_at;
 }
 
 bool crash_evidence::record_answer(server_key server, time_point now)
--- a/libs/quarantine/src/part_quarantine.cpp
+++ b/libs/quarantine/src/part_quarantine.cpp
@@ -104,7 +104,7 @@
     }
 }
 
-void part_quarantine::on_begun(const std::vector<part_key>& parts,
+void part_quarantine::on_sound(const std::vector<part_key>& parts,
                                time_point now)
 {
     for (const part_key part : parts)
