Streams go on after all routers were killed while several versions serve

Cause: what began a stream was known to routers only, and all of them forgot it.

Change: one live control replica is one of a router's backups and keeps records in memory; all known replicas are asked like routers. Same exchange, messages and links.

The unit test fails without the replicas by construction (nobody else keeps the records).

--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -8,6 +8,7 @@
 #include "operator_service.hpp"
 #include "order_service.hpp"
 #include "replica_metrics.hpp"
+#include "stream_keeper.hpp"
 #include "traffic_meter.hpp"
 #include "wall_clock.hpp"
 #include "work_meter.hpp"
@@ -95,6 +96,7 @@
         m_claims = std::make_unique<claims_service>(*m_replica, m_hub);
         m_reads =
             std::make_unique<follower_reads>(m_context, *m_replica, m_hub);
+        m_stream_keeper = std::make_unique<stream_keeper>(m_hub);
         m_operators = std::make_unique<operator_service>(
             m_state, *m_source, *m_replica, *m_hub);
         if (m_settings.discovery)
@@ -483,6 +485,10 @@
         {
             m_source->receive(from.vm, payload, monotonic_clock::now());
         }
+        else if (kind == wire::channel::origins)
+        {
+            m_stream_keeper->receive(from.vm, payload, monotonic_clock::now());
+        }
         else if (kind == wire::channel::control)
         {
             const work_meter::timer work(m_meter, work_kind::call);
@@ -571,6 +577,7 @@
     std::shared_ptr<wire::link_hub> m_hub;
     std::unique_ptr<replica::replica> m_replica;
     std::unique_ptr<config_source> m_source;
+    std::unique_ptr<stream_keeper> m_stream_keeper;
     /// Set only if the group is found by discovery.
     std::optional<group_discovery> m_discovery;
     std::unique_ptr<directory_feed> m_feed;
--- a/libs/gateway/src/directory_client.cpp
+++ b/libs/gateway/src/directory_client.cpp
@@ -79,10 +79,7 @@
         {
             self->m_callbacks.on_load_peer_lost();
         }
-        if (!self->m_replicas.contains(peer))
-        {
-            self->m_callbacks.on_router_lost(peer);
-        }
+        self->m_callbacks.on_router_lost(peer);
     };
     wire::link_settings links;
     links.connect_timeout = link_connect_timeout;
@@ -296,7 +293,22 @@
                        {"silent_ms", to_milliseconds(now - each.heard_at)}});
         }
     }
-    m_callbacks.on_replicas_checked();
+    report_replicas();
+}
+
+void directory_client::report_replicas()
+{
+    std::set<vm_id> known;
+    std::set<vm_id> live;
+    for (const auto& [vm, each] : m_replicas)
+    {
+        known.insert(vm);
+        if (each.is_live)
+        {
+            live.insert(vm);
+        }
+    }
+    m_callbacks.on_replicas_checked(known, live);
 }
 
 void directory_client::schedule_load_exchange()
@@ -375,6 +387,7 @@
                   {{"replica", sender.vm.get()},
                    {"orders", update.intent_index},
                    {"servers", update.registrations.size()}});
+        report_replicas();
     }
 }
 
--- a/libs/gateway/src/directory_client.hpp
+++ b/libs/gateway/src/directory_client.hpp
@@ -53,8 +53,10 @@
     std::function<void(const vm_id&, const std::string&)> on_router_frame;
     std::function<void(const vm_id&, const std::string&)> on_quarantine_frame;
     std::function<void(const vm_id&)> on_router_lost;
-    /// Called after each check of which replicas are live.
-    std::function<void()> on_replicas_checked;
+    /// Called after each check of which replicas are live, and when one has
+    /// become so, with all that are known and those that are live.
+    std::function<void(const std::set<vm_id>&, const std::set<vm_id>&)>
+        on_replicas_checked;
     /// Returns the next message to the replica with which this gateway
     /// exchanges loads, or nothing while the replica owes an answer.
     std::function<std::optional<directory::load_update>()> take_load_update;
@@ -138,6 +140,7 @@
     /// Errors: corrupt, malformed.
     outcome<std::string> read_document(const directory::update& update) const;
     void on_timer();
+    void report_replicas();
     void schedule();
     void subscribe(const vm_id& vm);
     void schedule_load_exchange();
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -248,8 +248,10 @@
             m_state.origins->on_lost(router);
             m_state.quarantine->on_lost(router);
         };
-        callbacks.on_replicas_checked = [this]
+        callbacks.on_replicas_checked =
+            [this](const std::set<vm_id>& known, const std::set<vm_id>& live)
         {
+            m_state.origins->set_replicas(known, live);
             m_state.origins->update_sharing();
         };
     }
--- a/libs/gateway/src/origin_service.cpp
+++ b/libs/gateway/src/origin_service.cpp
@@ -69,6 +69,13 @@
     wake_waiters();
 }
 
+void origin_service::set_replicas(std::set<vm_id> known,
+                                  const std::set<vm_id>& live)
+{
+    send(m_exchange.set_replicas(
+        std::move(known), live, monotonic_clock::now()));
+}
+
 void origin_service::update_sharing()
 {
     send(m_exchange.set_shared_services(m_callbacks.shared_services(),
--- a/libs/gateway/src/origin_service.hpp
+++ b/libs/gateway/src/origin_service.hpp
@@ -53,6 +53,9 @@
 
     void set_routers(origins::router_map routers);
 
+    /// See origin_exchange.
+    void set_replicas(std::set<vm_id> known, const std::set<vm_id>& live);
+
     /// Shares the streams recorded so far of services that have to be shared
     /// from now on. Call after each change that shared_services depends on.
     void update_sharing();
--- a/libs/gateway/test/directory_client_test.cpp
+++ b/libs/gateway/test/directory_client_test.cpp
@@ -132,7 +132,8 @@
             router_frames.emplace_back(from, payload);
         };
         callbacks.on_router_lost = [](const vm_id&) {};
-        callbacks.on_replicas_checked = [] {};
+        callbacks.on_replicas_checked = [](const std::set<vm_id>&,
+                                           const std::set<vm_id>&) {};
         callbacks.take_load_update = []
         {
             return std::optional(directory::load_update{true, true, {{7, 5}}});
--- a/libs/origins/include/limpet/origins/origin_exchange.hpp
+++ b/libs/origins/include/limpet/origins/origin_exchange.hpp
@@ -22,9 +22,10 @@
 
 /// Tells a caller that reconnects which version began its stream, whichever
 /// router it reaches. A router tells a few others, its backups, what began its
-/// streams; one that does not know a stream asks all. Functions return the
-/// messages to send. Takes the time as an argument and does no I/O; not
-/// thread-safe.
+/// streams; one that does not know a stream asks all. One backup is a control
+/// replica, which outlives a restart of all routers; a replica has an exchange
+/// that only stores and answers. Functions return the messages to send. Takes
+/// the time as an argument and does no I/O; not thread-safe.
 class origin_exchange
 {
 public:
@@ -36,8 +37,9 @@
     using version_function = std::function<std::optional<version_key>(
         service_key service, duration max_age)>;
 
-    /// Backups of a router: one in its own data centre, which it reaches while
-    /// the data centre is cut off, and two in others, which outlive it.
+    /// Backups of a router among the routers: one in its own data centre, which
+    /// it reaches while the data centre is cut off, and two in others, which
+    /// outlive it.
     static constexpr std::size_t default_backups = 3;
 
     origin_exchange(vm_id self,
@@ -49,6 +51,12 @@
     std::vector<addressed_message> set_routers(router_map routers,
                                                time_point now);
 
+    /// Sets the control replicas: those that are asked, and of these the ones
+    /// that are live and may be backups.
+    std::vector<addressed_message> set_replicas(std::set<vm_id> known,
+                                                const std::set<vm_id>& live,
+                                                time_point now);
+
     /// Sets the services of whose streams the backups are told: those that may
     /// have several versions. Streams of others continue at any server.
     std::vector<addressed_message>
@@ -84,6 +92,8 @@
 
 private:
     std::vector<vm_id> choose_backups() const;
+    /// Returns the names in the rendezvous order of this router.
+    std::vector<vm_id> rendezvous_order(const std::set<vm_id>& names) const;
     std::vector<addressed_message> update_backups(time_point now);
     /// Returns this router's streams of the shared services.
     std::vector<origin> shared_streams(time_point now) const;
@@ -94,6 +104,8 @@
     version_function m_only_version;
     std::size_t m_backup_count;
     router_map m_routers;
+    std::set<vm_id> m_replicas;
+    std::set<vm_id> m_live_replicas;
     std::vector<vm_id> m_backups;
     std::set<service_key> m_shared_services;
     /// Backups that were told of all streams of the shared services.
--- a/libs/origins/src/origin_exchange.cpp
+++ b/libs/origins/src/origin_exchange.cpp
@@ -32,22 +32,39 @@
 {
 }
 
+std::vector<vm_id>
+origin_exchange::rendezvous_order(const std::set<vm_id>& names) const
+{
+    std::vector<std::pair<std::uint64_t, vm_id>> ranked;
+    const std::uint64_t self = stable_hash(m_self.get());
+    for (const vm_id& vm : names)
+    {
+        ranked.emplace_back(combine_hashes(self, stable_hash(vm.get())), vm);
+    }
+    std::sort(ranked.rbegin(), ranked.rend());
+    std::vector<vm_id> order;
+    for (auto& [rank, vm] : ranked)
+    {
+        order.push_back(std::move(vm));
+    }
+    return order;
+}
+
 /// Takes the routers in rendezvous order, one of this data centre first, then
-/// one of each other, then any.
+/// one of each other, then any; and the first live replica.
 std::vector<vm_id> origin_exchange::choose_backups() const
 {
-    std::vector<std::pair<std::uint64_t, vm_id>> order;
-    const std::uint64_t self = stable_hash(m_self.get());
+    std::set<vm_id> names;
     for (const auto& [vm, data_centre] : m_routers)
     {
-        order.emplace_back(combine_hashes(self, stable_hash(vm.get())), vm);
+        names.insert(vm);
     }
-    std::sort(order.rbegin(), order.rend());
+    const std::vector<vm_id> order = rendezvous_order(names);
     std::vector<vm_id> chosen;
     std::set<data_centre_id> used;
     const auto take = [&](auto is_wanted)
     {
-        for (const auto& [rank, vm] : order)
+        for (const vm_id& vm : order)
         {
             const data_centre_id& place = m_routers.at(vm);
             const bool is_chosen =
@@ -75,6 +92,10 @@
         {
             return true;
         });
+    if (!m_live_replicas.empty())
+    {
+        chosen.push_back(rendezvous_order(m_live_replicas).front());
+    }
     return chosen;
 }
 
@@ -94,6 +115,19 @@
     return update_backups(now);
 }
 
+std::vector<origin_exchange::addressed_message> origin_exchange::set_replicas(
+    std::set<vm_id> known, const std::set<vm_id>& live, time_point now)
+{
+    m_replicas = std::move(known);
+    if (live == m_live_replicas)
+    {
+        return {};
+    }
+    m_live_replicas = live;
+    m_backups = choose_backups();
+    return update_backups(now);
+}
+
 std::vector<origin_exchange::addressed_message>
 origin_exchange::set_shared_services(std::set<service_key> services,
                                      time_point now)
@@ -191,6 +225,10 @@
     for (const auto& [vm, data_centre] : m_routers)
     {
         awaited.insert(vm);
+    }
+    awaited.insert(m_replicas.begin(), m_replicas.end());
+    for (const vm_id& vm : awaited)
+    {
         messages.emplace_back(vm, message{{}, {asked}, {}});
     }
     return messages;
--- a/libs/origins/test/origin_exchange_test.cpp
+++ b/libs/origins/test/origin_exchange_test.cpp
@@ -59,6 +59,48 @@
         send(vm, routers[vm]->set_shared_services({service}, now));
     }
 
+    /// Adds a control replica, which only stores and answers.
+    void add_replica(const vm_id& vm)
+    {
+        map[vm] = data_centre_id("a");
+        replicas.insert(vm);
+        routers[vm] =
+            std::make_unique<origin_exchange>(vm,
+                                              map[vm],
+                                              [](service_key, duration)
+                                              {
+                                                  return std::nullopt;
+                                              });
+        for (const auto& [each, router] : routers)
+        {
+            if (!replicas.contains(each))
+            {
+                send(each, router->set_replicas(replicas, replicas, now));
+            }
+        }
+    }
+
+    /// Stops all routers and starts them anew.
+    void restart_all_routers()
+    {
+        router_map names = map;
+        std::erase_if(names,
+                      [this](const auto& each)
+                      {
+                          return replicas.contains(each.first);
+                      });
+        for (const auto& [vm, data_centre] : names)
+        {
+            stop(vm);
+        }
+        for (const auto& [vm, data_centre] : names)
+        {
+            start(vm);
+            send(vm, routers[vm]->set_routers(names, now));
+            send(vm, routers[vm]->set_replicas(replicas, replicas, now));
+        }
+    }
+
     /// Stops the router. The others notice that their links are lost.
     void stop(const vm_id& vm)
     {
@@ -118,6 +160,7 @@
     time_point now{seconds(100)};
     router_map map;
     std::map<vm_id, std::unique_ptr<origin_exchange>> routers;
+    std::set<vm_id> replicas;
     std::set<vm_id> down;
     data_centre_id cut_off;
     std::optional<version_key> only_version;
@@ -154,6 +197,43 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(origin_outlives_a_restart_of_all_routers)
+{
+    fleet all(8);
+    all.add_replica(vm_id("c0"));
+    all.add_replica(vm_id("c1"));
+    for (int i = 0; i < 8; ++i)
+    {
+        all.begin(make_vm(i),
+                  stream_key(static_cast<std::uint64_t>(i)),
+                  i % 2 == 0 ? old_version : new_version);
+    }
+    all.restart_all_routers();
+    for (int i = 0; i < 8; ++i)
+    {
+        const auto found = all.find(make_vm((i + 1) % 8),
+                                    stream_key(static_cast<std::uint64_t>(i)));
+        BOOST_TEST((found == (i % 2 == 0 ? old_version : new_version)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(origin_is_kept_by_another_replica_after_the_loss_of_one)
+{
+    fleet all(8);
+    all.add_replica(vm_id("c0"));
+    all.add_replica(vm_id("c1"));
+    all.begin(make_vm(0), stream_key(7), old_version);
+    const bool is_first =
+        all.routers.at(vm_id("c0"))->find(stream_key(7), all.now).has_value();
+    all.stop(vm_id(is_first ? "c0" : "c1"));
+    all.send(make_vm(0),
+             all.routers.at(make_vm(0))
+                 ->set_replicas(
+                     all.replicas, {vm_id(is_first ? "c1" : "c0")}, all.now));
+    all.restart_all_routers();
+    BOOST_TEST((all.find(make_vm(3), stream_key(7)) == old_version));
+}
+
 BOOST_AUTO_TEST_CASE(origin_outlives_its_data_centre)
 {
     fleet all(8);
