Origins: a backup that becomes one again is told of all streams

What callers could see: streams refused after the loss of their router, though a backup lives.

Cause: a router remembered a former backup as complete. When the backups changed and it was chosen again, it was not told of the streams that began meanwhile.

Change: who is no backup does not count as complete.

--- a/libs/origins/src/origin_exchange.cpp
+++ b/libs/origins/src/origin_exchange.cpp
@@ -159,6 +159,14 @@
 std::vector<origin_exchange::addressed_message>
 origin_exchange::update_backups(time_point now)
 {
+    // A former backup was not told of the streams that began since.
+    std::erase_if(m_complete_backups,
+                  [this](const vm_id& each)
+                  {
+                      return std::find(m_backups.begin(),
+                                       m_backups.end(),
+                                       each) == m_backups.end();
+                  });
     std::vector<addressed_message> messages;
     if (m_shared_services.empty())
     {
