--- a/libs/origins/src/origin_exchange.cpp
+++ b/libs/origins/src/origin_exchange.cpp
@@ -36,6 +36,7 @@
 origin_exchange::rendezvous_order(const std::set<vm_id>& names) const
 {
     std::vector<std::pair<std::uint64_t, vm_id>> ranked;
+    ranked.reserve(names.size());
     const std::uint64_t self = stable_hash(m_self.get());
     for (const vm_id& vm : names)
     {
@@ -43,6 +44,7 @@
     }
     std::sort(ranked.rbegin(), ranked.rend());
     std::vector<vm_id> order;
+    order.reserve(names.size());
     for (auto& [rank, vm] : ranked)
     {
         order.push_back(std::move(vm));
