--- a/review/1/play.py
+++ b/review/1/play.py
@@ -1,4 +1,4 @@
-"""Engines fail part of the requests that they run, with status 503."""
+"""A client hides a request in the body of another one."""
 
 import asyncio
 import os
@@ -10,89 +10,75 @@
 import engine  # noqa: E402
 import fleet as base  # noqa: E402
 
-DEADLINE_MS = 2500
-REQUESTS = 120
-RATE = 20
-GREY_S = 4.0            # on all engines, as the site file has it
-FAILING_X = 0.4         # of their requests
-PROMISES = (408, 421, 429, 503)
+ATTEMPTS = 6
+COMMON = ("Host: calls.example\r\nDeadline-Ms: 2500\r\n"
+          "Authorization: Bearer key-one\r\n")
+CODINGS = ("gzip", "identity", "deflate")
 
 
-class GreyEngine(engine.Engine):
-    """Runs each request. A grey one fails some of them afterwards."""
+def hidden(number):
+    return (f"POST /alerts/hidden HTTP/1.1\r\n{COMMON}"
+            f"Request-Id: hidden{number}\r\nContent-Length: 4\r\n\r\nruns"
+            ).encode()
 
-    is_grey = False
-    taken = 0
+
+class BodyEngine(engine.Engine):
+    """Notes the bodies that it gets, too."""
 
     async def run(self, reader, writer, method, path, headers, body):
-        self.taken += 1
-        if not self.is_grey or self.taken % 5 >= 5 * FAILING_X:
-            await super().run(reader, writer, method, path, headers, body)
-            return
-        request = headers["request-id"]
-        self.begin(request, method, path)
-        await asyncio.sleep(self.work_s)
-        self.record.note(f"engine {self.name} has run {request} and answers "
-                         "503, without Not-Executed")
-        await self.answer(writer, 503, {
-            "Request-Id": request,
-            "Server-Seal": f"{self.name}.{request}.503"}, b"not dispatched")
+        self.record.note(f"engine {self.name} gets {len(body)} bytes with "
+                         f"{headers.get('request-id')}")
+        await super().run(reader, writer, method, path, headers, body)
 
 
-async def client(fleet, number, answers):
-    """Tries again after a promise, as PROTOCOL.md tells clients to."""
-    for attempt in (1, 2):
-        request = f"alert{number:03d}-{attempt}"
-        try:
-            status, headers, _ = await asyncio.wait_for(base.call(
-                (fleet.routers[number % 2].ip, fleet.front_port), "POST",
-                "/alerts/1", b"alert %d" % number,
-                {"Host": "calls.example", "Request-Id": request,
-                 "Deadline-Ms": DEADLINE_MS,
-                 "Authorization": "Bearer key-one"}), DEADLINE_MS / 1000)
-        except (OSError, EOFError, asyncio.TimeoutError) as failure:
-            fleet.record.note(f"client {request}: {failure!r}")
-            return
-        answers[request] = status
-        fleet.record.note(f"client {request}: {status}, seal "
-                          f"{headers.get('server-seal')}")
-        if status not in PROMISES:
-            return
+async def attempt(fleet, number):
+    """Sends one request; its body is the text of another one."""
+    body = hidden(number)
+    coding = CODINGS[number % len(CODINGS)]
+    framing = (f"Transfer-Encoding: {coding}\r\n" if base.TROUBLE
+               else f"Content-Length: {len(body)}\r\n")
+    fleet.record.note(f"client sends outer{number}, {framing.strip()!r}, with "
+                      f"a body of {len(body)} bytes that reads like the "
+                      f"request hidden{number}")
+    reader, writer = await asyncio.open_connection(
+        fleet.routers[0].ip, fleet.front_port)
+    writer.write(f"POST /alerts/outer HTTP/1.1\r\n{COMMON}"
+                 f"Request-Id: outer{number}\r\n{framing}\r\n".encode() + body)
+    answers = b""
+    try:
+        while True:
+            part = await asyncio.wait_for(reader.read(65536), 1)
+            if not part:
+                break
+            answers += part
+    except (OSError, asyncio.TimeoutError):
+        pass
+    writer.close()
+    lines = [line.decode() for line in answers.split(b"\r\n")
+             if line.startswith((b"HTTP/", b"Request-Id"))]
+    fleet.record.note(f"client gets {lines}")
 
 
 async def play(record):
-    fleet = base.Fleet(record, routers=2, controls=3)
+    fleet = base.Fleet(record, routers=1, controls=3)
     try:
         await fleet.start()
-        for zone in ("zone-1", "zone-2", "zone-3", "zone-3"):
-            await GreyEngine(fleet, "desk", zone, slots=6).start()
+        await BodyEngine(fleet, "desk", "zone-1").start()
         await fleet.order("PUT", "/limpetpoint/config", base.document(
             1, [base.route("alerts", "desk", "non_idempotent", 1200, 150)],
             ["desk"]))
-        for router in fleet.routers:
-            await fleet.wait_ready(router)
+        await fleet.wait_ready(fleet.routers[0])
         await asyncio.sleep(4)      # contactMs
-        answers = {}
-        clients = []
-        begin = record.now() + 1
-        for number in range(REQUESTS):
-            for each in fleet.engines:
-                each.is_grey = (base.TROUBLE and
-                                begin <= record.now() < begin + GREY_S)
-            clients.append(asyncio.create_task(
-                client(fleet, number, answers)))
-            await asyncio.sleep(1 / RATE)
-        await asyncio.gather(*clients)
+        for number in range(ATTEMPTS):
+            await attempt(fleet, number)
         ran = [request for each in fleet.engines
                for _, request, *_ in each.runs]
-        broken = [request for request, status in answers.items()
-                  if status in PROMISES and request in ran]
-        alerts = [request.split("-")[0] for request in ran]
-        doubled = sorted({each for each in alerts if alerts.count(each) > 1})
-        record.note(f"{len(broken)} requests were answered with a promise "
-                    f"that they have not run, and have run: {broken}; so "
-                    f"these alerts were sent twice: {doubled}")
-        return base.BROKEN if broken else base.HELD
+        smuggled = [each for each in ran if each.startswith("hidden")]
+        if not base.TROUBLE and len(ran) != ATTEMPTS:
+            raise base.CannotRun("the requests did not run")
+        record.note(f"requests that ran and were only in the body of another: "
+                    f"{smuggled}")
+        return base.BROKEN if smuggled else base.HELD
     finally:
         await fleet.stop()
 
