--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -9,7 +9,6 @@
 import os
 import random
 import re
-import resource
 import shutil
 import signal
 import socket
@@ -109,7 +108,7 @@
         with open(os.path.join(fleet.folder, self.name + ".log"), "ab") as log:
             self.child = await asyncio.create_subprocess_exec(
                 program, "--settings=" + path, stdout=log, stderr=log,
-                cwd=ROOT, preexec_fn=fleet.limit_descriptors)
+                cwd=ROOT)
         self.bootstrap = False
         fleet.record.note(f"{self.name} starts at {self.ip}")
 
@@ -146,13 +145,6 @@
                                 f"zone-{1 + (i - 1) % controls}")
                         for i in range(1, routers + 1)]
         self.engines = []
-        self.max_fds = 0        # 0: as the system has it
-
-    def limit_descriptors(self):
-        """Gives a process the descriptors that its machine has."""
-        if self.max_fds:
-            resource.setrlimit(resource.RLIMIT_NOFILE,
-                               (self.max_fds, self.max_fds))
 
     def seeds(self):
         return [f"{each.ip}:{self.control_port}" for each in self.controls[:3]]
