--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -21,6 +21,9 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
+started = []            # children, so that none is left behind
+
+
 class CannotRun(Exception):
     """The case could not be played."""
 
@@ -109,6 +112,7 @@
             self.child = await asyncio.create_subprocess_exec(
                 program, "--settings=" + path, stdout=log, stderr=log,
                 cwd=ROOT)
+        started.append(self.child)
         self.bootstrap = False
         fleet.record.note(f"{self.name} starts at {self.ip}")
 
@@ -302,6 +306,17 @@
         return probe.getsockname()
 
 
+def end_children():
+    """Ends children that are left, as after a time-out in the clean-up."""
+    for child in started:
+        if child.returncode is None:
+            try:
+                os.kill(child.pid, signal.SIGKILL)
+                os.waitpid(child.pid, 0)
+            except (ProcessLookupError, ChildProcessError):
+                pass
+
+
 def run(case_folder, play):
     """Plays a case: play(record) returns HELD or BROKEN."""
     record = Record(os.path.join(case_folder, "record.txt"))
@@ -314,6 +329,7 @@
     except (CannotRun, asyncio.TimeoutError) as failure:
         record.note(f"cannot run: {failure!r}")
         result = CANNOT_RUN
+    end_children()
     record.note({HELD: "the rule held", BROKEN: "the rule was broken",
                  CANNOT_RUN: "the case could not run"}[result])
     print(open(record.file.name, encoding="utf-8").read().splitlines()[-1])
