HTTP server: a request whose body's end is not certain is refused

Cause: the parser leaves codings other than chunked to its user, which never looked; it ends such a request after the head, so that the body's bytes were the next request of the connection. The same holds for `chunked, gzip`, an empty field, unknown names, a length after another coding, and for HTTP/1.0, which has no codings.

Related paths, found with the same question: fields of a trailer became header fields (a second id on the way to the server), as the fields were read after the whole message; CONNECT, after which a server may take the connection for a tunnel.

Change: the head is checked before the body is read. A coding list that does not end with chunked is refused with 400, codings below chunked and CONNECT with 501 (RFC 9112, 6.1 and 6.3); the connection closes. Fields are taken from the head only.

--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -1,5 +1,6 @@
 #include "connection.hpp"
 
+#include "framing.hpp"
 #include "head_text.hpp"
 #include "text_body.hpp"
 
@@ -50,6 +51,8 @@
         return "the body is too large";
     case 431:
         return "the header fields are too large";
+    case 501:
+        return "the method or the transfer coding is not supported";
     default:
         return "the request is malformed";
     }
@@ -62,16 +65,35 @@
            boost::beast::iequals(field->value(), "100-continue");
 }
 
-request to_request(request_parser& parser)
+/// Returns the status that refuses a request whose end would not be certain to
+/// all that read it, or 0. The parser ends a request with another coding than
+/// chunked after its head, so that its body would be read as a request.
+unsigned framing_status(const request_parser& parser)
 {
-    auto& message = parser.get();
+    constexpr unsigned version_with_codings = 11;
+    const auto& message = parser.get();
+    const transfer_coding coding = transfer_coding_of(message);
+    if (coding == transfer_coding::undelimited ||
+        (coding != transfer_coding::none &&
+         message.version() < version_with_codings))
+    {
+        return 400;
+    }
+    const bool is_tunnel =
+        message.method() == boost::beast::http::verb::connect;
+    return is_tunnel || coding == transfer_coding::unsupported ? 501 : 0;
+}
+
+/// Returns the request without its body.
+request to_request(const request_parser& parser)
+{
+    const auto& message = parser.get();
     request result;
     const auto method = message.method_string();
     const auto target = message.target();
     result.method.assign(method.data(), method.size());
     result.target.assign(target.data(), target.size());
     result.headers = to_header_list(message);
-    result.body = std::move(message.body());
     return result;
 }
 
@@ -195,7 +217,6 @@
     m_deadline->cancels_after(limits.head_timeout);
     m_buffer.max_size(limits.header_bytes + early_bytes);
     request_parser parser;
-    parser.eager(true);
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
     bool has_head = false;
@@ -210,6 +231,24 @@
             const unsigned status = status_of(failure);
             co_return receive_failure{status, reason_of(status)};
         }
+        if (!has_head && parser.is_header_done())
+        {
+            has_head = true;
+            const unsigned status = framing_status(parser);
+            if (status != 0)
+            {
+                co_return receive_failure{status, reason_of(status)};
+            }
+            // Before the parser adds the fields of a trailer.
+            m_request = to_request(parser);
+            parser.eager(true);
+            const duration used_up = monotonic_clock::now() - begun;
+            m_deadline->cancels_after(limits.receive_timeout - used_up);
+            if (m_buffer.size() > 0)
+            {
+                continue;
+            }
+        }
         if (!keep_body(parser.get().body().size()))
         {
             co_return receive_failure{503,
@@ -219,12 +258,6 @@
         {
             break;
         }
-        if (!has_head && parser.is_header_done())
-        {
-            has_head = true;
-            const duration used_up = monotonic_clock::now() - begun;
-            m_deadline->cancels_after(limits.receive_timeout - used_up);
-        }
         if (!continued && parser.is_header_done() && expects_continue(parser))
         {
             continued = true;
@@ -244,7 +277,7 @@
     m_keep_alive = parser.get().keep_alive();
     m_chunked = parser.get().version() >= 11;
     m_head_only = parser.get().method() == boost::beast::http::verb::head;
-    m_request = to_request(parser);
+    m_request.body = std::move(parser.get().body());
     co_return std::nullopt;
 }
 
--- a/libs/http/test/server_test.cpp
+++ b/libs/http/test/server_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <future>
 
 using namespace limpet;
@@ -48,6 +49,48 @@
     return "GET / HTTP/1.1\r\nX: " + std::string(20000, 'x') + "\r\n\r\n";
 }
 
+/// A request whose body, if it is not taken for one, is another request.
+struct framing_case
+{
+    const char* name;
+    const char* fields;
+    const char* answer_start;
+};
+
+const framing_case uncertain_framings[] = {
+    {"gzip", "Transfer-Encoding: gzip\r\n", "HTTP/1.1 400"},
+    {"identity", "Transfer-Encoding: identity\r\n", "HTTP/1.1 400"},
+    {"unknown coding", "Transfer-Encoding: xchunked\r\n", "HTTP/1.1 400"},
+    {"no coding", "Transfer-Encoding:\r\n", "HTTP/1.1 400"},
+    {"chunked is not the last",
+     "Transfer-Encoding: chunked, gzip\r\n",
+     "HTTP/1.1 400"},
+    {"chunked is not the last of two fields",
+     "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+     "HTTP/1.1 400"},
+    {"chunked twice",
+     "Transfer-Encoding: chunked, chunked\r\n",
+     "HTTP/1.1 400"},
+    {"chunked with a parameter",
+     "Transfer-Encoding: chunked;a=b\r\n",
+     "HTTP/1.1 400"},
+    {"chunked after a control character",
+     "Transfer-Encoding: \vchunked\r\n",
+     "HTTP/1.1 400"},
+    {"length after a coding",
+     "Transfer-Encoding: gzip\r\nContent-Length: 3\r\n",
+     "HTTP/1.1 400"},
+    {"length before a coding",
+     "Content-Length: 3\r\nTransfer-Encoding: gzip\r\n",
+     "HTTP/1.1 400"},
+    {"coding below chunked",
+     "Transfer-Encoding: gzip, chunked\r\n",
+     "HTTP/1.1 501"},
+    {"coding below chunked in two fields",
+     "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+     "HTTP/1.1 501"},
+};
+
 const raw_case bad_requests[] = {
     {"garbage", "\x16\x03\x01\x02\r\n\r\n", "HTTP/1.1 400"},
     {"no version", "GET /\r\n\r\n", "HTTP/1.1 400"},
@@ -75,6 +118,10 @@
     {"chunked body too large",
      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nFFFFFFF\r\n",
      "HTTP/1.1 413"},
+    {"chunks of an old version",
+     "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+     "HTTP/1.1 400"},
+    {"tunnel", "CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 501"},
     {"head too large", long_head(), "HTTP/1.1 431"},
     {"cut off", "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab", ""},
 };
@@ -139,6 +186,56 @@
         std::holds_alternative<response>(fetch(make_request("GET", "/"))));
 }
 
+// Guards against requests that are smuggled in the body of another one.
+BOOST_AUTO_TEST_CASE(server_request_with_uncertain_body_end_runs_nothing)
+{
+    std::atomic<int> runs = 0;
+    serve(
+        [&runs](exchange& call)
+        {
+            ++runs;
+            return echo(call);
+        });
+    const std::string hidden =
+        "POST /hidden HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+    for (const framing_case& item : uncertain_framings)
+    {
+        for (const char* method : {"POST", "GET", "HEAD"})
+        {
+            BOOST_TEST_CONTEXT(item.name << ", " << method)
+            {
+                const std::string answer =
+                    exchange_raw(std::string(method) + " /outer HTTP/1.1\r\n" +
+                                     item.fields + "\r\n" + hidden,
+                                 true);
+                BOOST_TEST(answer.substr(0, 12) == item.answer_start);
+                BOOST_TEST(answer.find("Connection: close") !=
+                           std::string::npos);
+                BOOST_TEST(answer.find("HTTP/1.1", 1) == std::string::npos);
+            }
+        }
+    }
+    BOOST_TEST(runs == 0);
+}
+
+// Guards against fields that a caller adds behind the body.
+BOOST_AUTO_TEST_CASE(server_trailer_field_is_no_header_field)
+{
+    serve(
+        [](exchange& call) -> boost::asio::awaitable<void>
+        {
+            response answer;
+            const auto& headers = call.received().headers;
+            answer.body = "<" + std::string(headers.value_or_empty("Id")) + ">";
+            co_await call.respond(std::move(answer));
+        });
+    const std::string answer =
+        exchange_raw("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+                     "Connection: close\r\n\r\n"
+                     "2\r\nok\r\n0\r\nId: trailer\r\n\r\n");
+    BOOST_TEST(answer.ends_with("\r\n\r\n<>"), answer);
+}
+
 BOOST_AUTO_TEST_CASE(server_pipelined_requests_are_answered_in_order)
 {
     serve(echo);
