HTTP client: an answer whose body's end is not certain is refused

An answer with another transfer coding than chunked was passed on as it came, in part with a length that the coding overrides, so that the rest of it could be read as the answer of the next request on that connection (MIXED).

Cause: as for requests, the parser leaves codings other than chunked to its user. Likewise 101, after which the bytes are no HTTP; a body announced by a 204, which the parser does not read; fields of a trailer, which became header fields.

Change: the head is checked before the body is read; such answers are malformed. A connection is not kept after an end that is not clear. It is kept when the reader has seen the end, and no longer before it has looked at the head: cancel() closes it until then. is_first_on_connection() tells readers whether a late copy of an earlier answer is possible.

--- a/libs/http/include/limpet/http/client.hpp
+++ b/libs/http/include/limpet/http/client.hpp
@@ -58,8 +58,10 @@
 
 std::string_view to_string(body_delimiter delimiter) noexcept;
 
-/// An answer whose body is read in parts. Destroying it before the end closes
-/// the connection.
+/// An answer whose body is read in parts. Its connection is kept for other
+/// requests when read_some() returns the body's end, or when it is destroyed
+/// after the whole body has arrived; destroying it earlier closes the
+/// connection.
 class response_stream
 {
 public:
@@ -69,6 +71,10 @@
 
     virtual body_delimiter delimiter() const = 0;
 
+    /// Whether no request was sent over the connection before this one. If one
+    /// was, the answer may be a late copy of an earlier answer.
+    virtual bool is_first_on_connection() const = 0;
+
     /// Returns the next part of the body, nothing at its regular end, or an
     /// error if it was cut off or took too long.
     virtual boost::asio::awaitable<outcome<std::optional<std::string>>>
@@ -78,7 +84,8 @@
     virtual void set_read_timeout(duration timeout) = 0;
 
     /// Ends a pending read with error_code::cancelled and closes the
-    /// connection. Call on the executor of the reader.
+    /// connection, also if the whole body has arrived but its end was not read.
+    /// Call on the executor of the reader.
     virtual void cancel() = 0;
 };
 
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -139,7 +139,7 @@
             tcp::socket socket =
                 kept ? std::move(*kept) : tcp::socket(executor);
             auto stream = std::make_unique<received_response>(
-                m_pool, server, std::move(socket), executor, head_only);
+                m_pool, server, std::move(socket), executor, is_new, head_only);
             scope.set(stream.get());
             std::optional<request_failure> failure;
             if (is_new)
--- a/libs/http/src/received_response.cpp
+++ b/libs/http/src/received_response.cpp
@@ -1,5 +1,6 @@
 #include "received_response.hpp"
 
+#include "framing.hpp"
 #include "head_text.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -15,6 +16,10 @@
 constexpr auto as_result = boost::asio::as_tuple(boost::asio::use_awaitable);
 constexpr std::size_t read_bytes = 4096;
 constexpr unsigned max_interim_answers = 8;
+constexpr unsigned switching_protocols = 101;
+constexpr unsigned no_content = 204;
+/// The first version of HTTP with transfer codings.
+constexpr unsigned version_with_codings = 11;
 
 boost::asio::const_buffer to_buffer(std::string_view bytes)
 {
@@ -28,6 +33,7 @@
     const boost::asio::ip::tcp::endpoint& server,
     boost::asio::ip::tcp::socket socket,
     const boost::asio::any_io_executor& executor,
+    bool is_first,
     bool head_only)
     : m_pool(std::move(pool)),
       m_server(server),
@@ -35,12 +41,14 @@
       m_deadline(std::make_shared<deadline>(executor, m_socket)),
       m_buffer(m_pool->limits().header_bytes + read_bytes),
       m_read_timeout(m_pool->limits().read_timeout),
+      m_is_first(is_first),
       m_head_only(head_only)
 {
 }
 
 received_response::~received_response()
 {
+    release();
     m_deadline->detach();
 }
 
@@ -76,11 +84,6 @@
         co_return request_failure{std::move(*failure), m_sent};
     }
     m_deadline->expires_never();
-    copy_head();
-    if (m_parser->is_done())
-    {
-        release();
-    }
     co_return std::nullopt;
 }
 
@@ -94,16 +97,21 @@
     return m_delimiter;
 }
 
+bool received_response::is_first_on_connection() const
+{
+    return m_is_first;
+}
+
 boost::asio::awaitable<outcome<std::optional<std::string>>>
 received_response::read_some()
 {
     std::string& arrived = m_parser->get().body();
-    if (arrived.empty() && !m_released)
+    if (arrived.empty() && !m_parser->is_done())
     {
         // Once for the part, as bytes outside of the body may come for ever.
         m_deadline->expires_after(m_read_timeout);
     }
-    while (arrived.empty() && !m_released)
+    while (arrived.empty() && !m_parser->is_done())
     {
         std::optional<error> failure = co_await advance();
         if (failure)
@@ -111,8 +119,13 @@
             co_return std::move(*failure);
         }
     }
+    if (m_parser->is_done())
+    {
+        m_deadline->expires_never();
+    }
     if (arrived.empty())
     {
+        release();
         co_return std::optional<std::string>();
     }
     co_return std::optional<std::string>(std::exchange(arrived, {}));
@@ -170,7 +183,30 @@
             reset_parser();
         }
     }
-    co_return std::nullopt;
+    co_return begin_body();
+}
+
+std::optional<error> received_response::begin_body()
+{
+    const auto& message = m_parser->get();
+    const transfer_coding coding = transfer_coding_of(message);
+    if (message.result_int() == switching_protocols ||
+        (coding != transfer_coding::none &&
+         (coding != transfer_coding::chunked ||
+          message.version() < version_with_codings)))
+    {
+        return error{error_code::malformed,
+                     "malformed answer: the end of its body is not certain"};
+    }
+    // Before the parser adds the fields of a trailer.
+    copy_head();
+    m_has_head = true;
+    m_parser->eager(true);
+    if (!m_parser->is_done() && m_buffer.size() > 0)
+    {
+        m_error = parse();
+    }
+    return m_error;
 }
 
 boost::asio::awaitable<std::optional<error>> received_response::advance()
@@ -219,10 +255,6 @@
         return error{error_code::malformed,
                      "malformed answer: " + failure.message()};
     }
-    if (m_parser->is_done() && !is_interim())
-    {
-        release();
-    }
     return std::nullopt;
 }
 
@@ -237,20 +269,31 @@
     {
         return error{error_code::io_error, "the answer was cut off"};
     }
-    m_released = true;
+    m_has_ended = true;
     return std::nullopt;
 }
 
 bool received_response::is_interim() const
 {
     const unsigned status = m_parser->get().result_int();
-    return status >= 100 && status < 200;
+    return status >= 100 && status < 200 && status != switching_protocols;
+}
+
+bool received_response::may_be_followed_by_bytes() const
+{
+    using boost::beast::http::field;
+    const auto& message = m_parser->get();
+    const auto length = message.find(field::content_length);
+    const bool announces_body =
+        message.count(field::transfer_encoding) > 0 ||
+        (length != message.end() && length->value() != "0");
+    return m_buffer.size() > 0 ||
+           (message.result_int() == no_content && announces_body);
 }
 
 void received_response::reset_parser()
 {
     m_parser.emplace();
-    m_parser->eager(true);
     m_parser->skip(m_head_only);
     m_parser->header_limit(
         static_cast<std::uint32_t>(m_pool->limits().header_bytes));
@@ -268,14 +311,16 @@
 
 void received_response::release()
 {
-    if (m_released)
+    const bool is_whole = m_has_head && m_parser->is_done() && !m_error;
+    if (m_released || !is_whole)
     {
         return;
     }
     m_released = true;
     m_deadline->detach();
     // Bytes beyond the answer belong to no request.
-    if (m_parser->keep_alive() && m_buffer.size() == 0 && !m_cancelled)
+    if (m_parser->keep_alive() && !m_has_ended && !m_cancelled &&
+        !may_be_followed_by_bytes())
     {
         m_pool->put(m_server, std::move(m_socket));
     }
--- a/libs/http/src/received_response.hpp
+++ b/libs/http/src/received_response.hpp
@@ -22,7 +22,7 @@
 {
 
 /// Sends one request over one connection and reads its answer. Used on one
-/// executor. The connection goes back to the pool once the answer is whole.
+/// executor.
 class received_response : public response_stream
 {
 public:
@@ -30,6 +30,7 @@
                       const boost::asio::ip::tcp::endpoint& server,
                       boost::asio::ip::tcp::socket socket,
                       const boost::asio::any_io_executor& executor,
+                      bool is_first,
                       bool head_only);
     ~received_response() override;
 
@@ -42,6 +43,7 @@
 
     const response_head& head() const override;
     body_delimiter delimiter() const override;
+    bool is_first_on_connection() const override;
     boost::asio::awaitable<outcome<std::optional<std::string>>>
     read_some() override;
     void set_read_timeout(duration timeout) override;
@@ -53,13 +55,18 @@
     boost::asio::awaitable<std::optional<error>>
     write_request(std::string_view head, std::string_view body);
     boost::asio::awaitable<std::optional<error>> read_head();
+    /// Checks what delimits the body and parses what has arrived of it.
+    std::optional<error> begin_body();
     /// Parses what has arrived, or reads more if that is not enough.
     boost::asio::awaitable<std::optional<error>> advance();
     std::optional<error> parse();
     std::optional<error> end_of_connection();
     bool is_interim() const;
+    bool may_be_followed_by_bytes() const;
     void reset_parser();
     void copy_head();
+    /// Returns the connection to the pool, or closes it, if the answer is
+    /// whole.
     void release();
     error failed(const boost::system::error_code& failure);
 
@@ -73,9 +80,13 @@
     body_delimiter m_delimiter = body_delimiter::length;
     duration m_read_timeout;
     std::optional<error> m_error;
+    bool m_is_first;
     bool m_head_only;
     bool m_sent = false;
+    bool m_has_head = false;
     bool m_released = false;
+    /// Whether the server has closed the connection.
+    bool m_has_ended = false;
     bool m_cancelled = false;
 };
 
--- a/libs/http/test/client_test.cpp
+++ b/libs/http/test/client_test.cpp
@@ -4,7 +4,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <future>
+#include <vector>
 
 using namespace limpet;
 using namespace limpet::http;
@@ -99,6 +101,63 @@
     boost::asio::ip::tcp::acceptor acceptor;
 };
 
+/// Keeps its connections and sends the next of the answers for each request.
+struct keeping_server
+{
+    keeping_server(boost::asio::io_context& io, std::vector<std::string> script)
+        : context(io),
+          acceptor(io, {boost::asio::ip::address_v4::loopback(), 0}),
+          answers(std::move(script))
+    {
+        boost::asio::co_spawn(context, accept_all(), boost::asio::detached);
+    }
+
+    boost::asio::awaitable<void> accept_all()
+    {
+        constexpr auto as_result =
+            boost::asio::as_tuple(boost::asio::use_awaitable);
+        for (;;)
+        {
+            auto [failure, socket] = co_await acceptor.async_accept(as_result);
+            if (failure)
+            {
+                co_return;
+            }
+            ++connections;
+            boost::asio::co_spawn(
+                context, serve(std::move(socket)), boost::asio::detached);
+        }
+    }
+
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket)
+    {
+        constexpr auto as_result =
+            boost::asio::as_tuple(boost::asio::use_awaitable);
+        std::string received;
+        for (;;)
+        {
+            auto [failure, size] = co_await boost::asio::async_read_until(
+                socket,
+                boost::asio::dynamic_buffer(received),
+                "\r\n\r\n",
+                as_result);
+            if (failure || next == answers.size())
+            {
+                co_return;
+            }
+            received.erase(0, size);
+            co_await boost::asio::async_write(
+                socket, boost::asio::buffer(answers[next++]), as_result);
+        }
+    }
+
+    boost::asio::io_context& context;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::vector<std::string> answers;
+    std::atomic<std::size_t> next = 0;
+    std::atomic<int> connections = 0;
+};
+
 struct answer_case
 {
     std::string bytes;
@@ -131,6 +190,34 @@
     {head + "Transfer-Encoding: chunked\r\n\r\n1;" + std::string(40000, 'x'),
      "",
      true},
+    {head + "Transfer-Encoding: gzip\r\n\r\nok", "malformed", true},
+    {head + "Transfer-Encoding:\r\n\r\nok", "malformed", true},
+    {head + "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+     "malformed",
+     true},
+    {head + "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+     "malformed",
+     true},
+    {head + "Transfer-Encoding: chunked, gzip\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+     "malformed",
+     true},
+    {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "2\r\nok\r\n0\r\n\r\n",
+     "malformed",
+     true},
+    {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + head +
+         "Content-Length: 2\r\n\r\nok",
+     "malformed",
+     true},
+};
+
+const std::string short_answer = head + "Content-Length: 2\r\n\r\nok";
+
+/// Answers after which more bytes may follow that belong to no request.
+const std::string unclear_ends[] = {
+    "HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\n",
+    "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+    short_answer + "more",
 };
 
 /// A whole answer, of which the body "ok!" begins at the byte.
@@ -201,6 +288,18 @@
     send_canceller canceller;
 };
 
+/// Sends a request and cancels its answer, which has arrived in full. Returns
+/// whether the answer is the first one of its connection.
+boost::asio::awaitable<bool> send_and_cancel(loopback& fixture)
+{
+    request message = make_request("GET", "/");
+    send_result result = co_await fixture.caller->send(
+        fixture.endpoint, std::move(message), seconds(10));
+    auto& answer = std::get<std::unique_ptr<response_stream>>(result);
+    answer->cancel();
+    co_return answer->is_first_on_connection();
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(client_suite, loopback)
@@ -332,6 +431,67 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(client_connection_is_kept_after_whole_answer)
+{
+    keeping_server peer(context, {short_answer, short_answer, short_answer});
+    endpoint = peer.acceptor.local_endpoint();
+    for (int i = 0; i < 3; ++i)
+    {
+        const auto result = fetch(make_request("GET", "/"));
+        BOOST_TEST(std::get<response>(result).body == "ok");
+    }
+    BOOST_TEST(peer.connections == 1);
+}
+
+// Guards against bytes of one answer that are read as the next one.
+BOOST_AUTO_TEST_CASE(client_connection_is_not_kept_after_unclear_end)
+{
+    for (const std::string& bytes : unclear_ends)
+    {
+        BOOST_TEST_CONTEXT(bytes)
+        {
+            keeping_server peer(context, {bytes, short_answer});
+            endpoint = peer.acceptor.local_endpoint();
+            fetch(make_request("GET", "/"));
+            const auto result = fetch(make_request("GET", "/"));
+            BOOST_TEST(std::get<response>(result).body == "ok");
+            BOOST_TEST(peer.connections == 2);
+        }
+    }
+}
+
+// Guards against a connection that is used again while an answer is due on it.
+BOOST_AUTO_TEST_CASE(client_connection_is_not_kept_after_cancelled_answer)
+{
+    keeping_server peer(context, {short_answer, short_answer});
+    endpoint = peer.acceptor.local_endpoint();
+    const bool is_first = run(send_and_cancel(*this));
+    const auto result = fetch(make_request("GET", "/"));
+    BOOST_TEST(is_first);
+    BOOST_TEST(std::get<response>(result).body == "ok");
+    BOOST_TEST(peer.connections == 2);
+}
+
+BOOST_AUTO_TEST_CASE(client_answer_tells_whether_connection_was_used_before)
+{
+    keeping_server peer(context, {short_answer, short_answer});
+    endpoint = peer.acceptor.local_endpoint();
+    fetch(make_request("GET", "/"));
+    BOOST_TEST(!run(send_and_cancel(*this)));
+}
+
+BOOST_AUTO_TEST_CASE(client_trailer_field_is_no_header_field)
+{
+    keeping_server peer(context,
+                        {head + "Transfer-Encoding: chunked\r\n\r\n"
+                                "2\r\nok\r\n0\r\nId: trailer\r\n\r\n"});
+    endpoint = peer.acceptor.local_endpoint();
+    const auto result = fetch(make_request("GET", "/"));
+    const auto& answer = std::get<response>(result);
+    BOOST_TEST(answer.body == "ok");
+    BOOST_TEST(answer.head.headers.find("Id") == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(client_head_that_never_comes_times_out)
 {
     scripted_server peer(context);
