Gateway: a late refusal without an id is no promise, its connection is closed

Reported by operators: a server wrote an earlier refusal once more on a kept connection; clients were told that requests had not run which ran (REFUSED), or such a request ran a second time (TWICE). It can happen here:

- A refusal without a request id was taken for the request's own, also on a connection that had carried other requests.
A single request was then sent to a second server.
- At a server that checks fencing numbers (the project's own interface), 409 was believed before its id was looked at.
- After an answer with another id the connection was used again, with the request's own answer still due: each further request got the one before.

A refusal with the same id cannot come back: a request is sent to a server once (the servers tried are excluded).

Change: a refusal without an id is believed only as the first answer of its connection. Ids are checked before anything else. A connection with an answer to another request is closed.

--- a/libs/gateway/src/request_handler_response.cpp
+++ b/libs/gateway/src/request_handler_response.cpp
@@ -39,13 +39,17 @@
     const time_point now = monotonic_clock::now();
     m_state.quarantine->on_answer(server.start_key);
     // Only refusals that a server sends before it has read the request have no
-    // id.
+    // id. On a connection that was used before, such a refusal may be a late
+    // copy of one to an earlier request.
     const bool is_own_answer = fields.id == m_call.id ||
-                               (fields.has_not_run && fields.id.get().empty());
+                               (fields.has_not_run && fields.id.get().empty() &&
+                                answer->is_first_on_connection());
     if (!is_own_answer)
     {
         m_last_failure =
             "response carries the id of another request: " + fields.id.get();
+        // The request's own response is still due on the connection.
+        answer->cancel();
         finish_attempt(server, attempt_outcome::broken);
         co_return m_stream_begun ? attempt_result::interrupted
                                  : attempt_result::failed;
--- a/libs/pipeline/src/served_exchange.cpp
+++ b/libs/pipeline/src/served_exchange.cpp
@@ -137,6 +137,15 @@
     }
     m_answer =
         std::move(std::get<std::unique_ptr<http::response_stream>>(sent));
+    status checked = check_id(target, m_answer->head());
+    if (!is_ok(checked))
+    {
+        send_finish(make_broken(error_of(checked)));
+        // The request's own answer is still due on the connection.
+        m_answer->cancel();
+        m_answer.reset();
+        co_return served_result{0, true};
+    }
     if (target.checks_fencing && m_answer->head().status == status_conflict)
     {
         finish_not_run({error_code::not_owner,
@@ -146,7 +155,7 @@
         m_answer.reset();
         co_return served_result{0, false};
     }
-    const status checked = check_head(target, m_answer->head());
+    checked = check_status(m_answer->head().status);
     if (!is_ok(checked))
     {
         send_finish(make_broken(error_of(checked)));
@@ -218,8 +227,8 @@
     return request;
 }
 
-status served_exchange::check_head(const dispatch_target& target,
-                                   const http::response_head& head) const
+status served_exchange::check_id(const dispatch_target& target,
+                                 const http::response_head& head) const
 {
     const std::string* echoed = head.headers.find(headers::request);
     const bool mismatched =
@@ -236,11 +245,15 @@
             error_code::malformed,
             "engine's response has no request id or that of another request"};
     }
-    if (m_open.repeatable && is_retryable_status(head.status))
+    return success();
+}
+
+status served_exchange::check_status(unsigned code) const
+{
+    if (m_open.repeatable && is_retryable_status(code))
     {
         return error{error_code::unavailable,
-                     "engine responded with status " +
-                         std::to_string(head.status)};
+                     "engine responded with status " + std::to_string(code)};
     }
     return success();
 }
--- a/libs/pipeline/src/served_exchange.hpp
+++ b/libs/pipeline/src/served_exchange.hpp
@@ -96,8 +96,10 @@
     using strand = boost::asio::strand<boost::asio::io_context::executor_type>;
 
     http::request make_request(const dispatch_target& target) const;
-    status check_head(const dispatch_target& target,
-                      const http::response_head& head) const;
+    /// Returns an error if the response may belong to another request.
+    status check_id(const dispatch_target& target,
+                    const http::response_head& head) const;
+    status check_status(unsigned code) const;
     boost::asio::awaitable<finish_message> relay_answer();
     boost::asio::awaitable<finish_message> relay_events();
     boost::asio::awaitable<finish_message> relay_bytes();
