Gateway: unfinished events count against the memory of responses

Reported by operators: a faulty server sent bytes that were no answer, without end; the router kept them all and ran out of memory. Bodies, heads, interim answers, chunk extensions and trailers without end were bounded here; events were bounded each (1 MiB), but not together: 90 streams at one server that stalls within a long event held 97 MB, and bodies up to 256 KiB did not count.

Change: what is kept of an unfinished event counts against the budget of responses (40 MiB), sizes up to 16 KiB do not. One server may use half of the budget, so that it cannot make the large responses of others fail. A stream beyond it is broken off as at any malformed answer.

Left: the project's own interface bounds each event (1 MiB), not all together.

--- a/libs/gateway/src/request_handler_response.cpp
+++ b/libs/gateway/src/request_handler_response.cpp
@@ -163,7 +163,7 @@
 {
     http::response buffered;
     buffered.head = answer->head();
-    response_buffer body(m_state.response_buffers);
+    response_buffer body(m_state.response_buffers, m_server);
     for (;;)
     {
         auto part = co_await answer->read_some();
@@ -208,6 +208,7 @@
 request_handler::forward_stream(std::unique_ptr<http::response_stream> answer)
 {
     http::event_splitter events(m_last_event, max_event_bytes);
+    buffer_claim unfinished(m_state.response_buffers, m_server);
     bool has_events = false;
     if (!m_stream_begun)
     {
@@ -253,6 +254,13 @@
             m_last_failure = error_of(batch).message;
             break;
         }
+        // The string that holds them may be twice as large.
+        const status kept = unfinished.resize(2 * m_unfinished_bytes);
+        if (!is_ok(kept))
+        {
+            m_last_failure = error_of(kept).message;
+            break;
+        }
         if (!value_of(batch).bytes.empty())
         {
             has_events = true;
--- a/libs/gateway/test/endless_answers_test.cpp
+++ b/libs/gateway/test/endless_answers_test.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <malloc.h>
+
 using namespace limpet;
 using namespace limpet::gateway;
 
@@ -67,6 +69,27 @@
         return state.metrics.to_text().find("abandoned") == std::string::npos;
     }
 
+    /// Returns the memory allocated for so many streams of one server that have
+    /// each been sent most of the longest event.
+    std::size_t memory_of_unfinished_events(int count)
+    {
+        server.set_stalled_answer(head + "\r\n" + std::string(900000, 'x'));
+        register_server("i-0", server.endpoint(), 1000);
+        const std::size_t before = mallinfo2().uordblks + mallinfo2().hblkhd;
+        for (int i = 0; i < count; ++i)
+        {
+            boost::asio::co_spawn(
+                context, fetch(make_request(0)), boost::asio::detached);
+        }
+        while (server.stalled_answers() + static_cast<int>(results.size()) <
+               count)
+        {
+            context.run_one();
+        }
+        context.poll();
+        return mallinfo2().uordblks + mallinfo2().hblkhd - before;
+    }
+
     /// Returns the result of a request, once the server has seen that its
     /// connection ended.
     std::string fetch_endless(const endless_response& response)
@@ -105,6 +128,14 @@
     }
 }
 
+// Guards against a router that runs out of memory on events without end.
+BOOST_AUTO_TEST_CASE(events_without_end_stay_within_the_memory_of_responses)
+{
+    set_route(directory::request_kind::stream, 1);
+    constexpr std::size_t budget = 40UL * 1024 * 1024;
+    BOOST_TEST(memory_of_unfinished_events(90) <= budget);
+}
+
 BOOST_AUTO_TEST_CASE(stream_without_end_is_given_up_and_frees_its_slot)
 {
     for (const auto kind : {directory::request_kind::stream,
--- a/libs/gateway/test/raw_server.hpp
+++ b/libs/gateway/test/raw_server.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -37,7 +38,8 @@
 {
 public:
     explicit raw_server(boost::asio::io_context& context)
-        : m_acceptor(context, {boost::asio::ip::address_v4::loopback(), 0})
+        : m_acceptor(context, {boost::asio::ip::address_v4::loopback(), 0}),
+          m_stall(context, boost::asio::steady_timer::time_point::max())
     {
         boost::asio::co_spawn(context, accept(), boost::asio::detached);
     }
@@ -56,6 +58,19 @@
         m_repeated = std::move(repeated);
     }
 
+    /// Sends the bytes once and keeps the connection open without sending more.
+    void set_stalled_answer(std::string bytes)
+    {
+        m_bytes = std::move(bytes);
+        m_stalls = true;
+    }
+
+    /// Returns the number of answers that have stalled.
+    int stalled_answers() const
+    {
+        return m_stalled;
+    }
+
     boost::asio::ip::tcp::endpoint endpoint() const
     {
         return m_acceptor.local_endpoint();
@@ -113,6 +128,13 @@
                                             failure));
             bytes = repeated;
         } while (!repeated.empty() && !failure);
+        if (m_stalls)
+        {
+            std::string().swap(bytes);
+            ++m_stalled;
+            co_await m_stall.async_wait(boost::asio::redirect_error(
+                boost::asio::use_awaitable, failure));
+        }
         if (end == connection_end::reset)
         {
             socket.set_option(boost::asio::socket_base::linger(true, 0),
@@ -127,6 +149,9 @@
     connection_end m_end = connection_end::closed;
     std::string m_repeated;
     int m_open = 0;
+    bool m_stalls = false;
+    int m_stalled = 0;
+    boost::asio::steady_timer m_stall;
 };
 
 } // namespace limpet::gateway
--- a/libs/gateway/test/response_buffer_test.cpp
+++ b/libs/gateway/test/response_buffer_test.cpp
@@ -11,6 +11,8 @@
 {
 
 const std::string part(64UL * 1024, 'x');
+const engine_id faulty("faulty");
+const engine_id sound("sound");
 
 /// Appends until the buffer refuses, and returns the bytes that it took.
 std::size_t fill(response_buffer& buffer)
@@ -34,7 +36,8 @@
     std::size_t taken = 0;
     for (int i = 0; i < 50; ++i)
     {
-        taken += fill(buffers.emplace_back(budget));
+        taken +=
+            fill(buffers.emplace_back(budget, engine_id(std::to_string(i))));
     }
     BOOST_TEST(taken <= 40UL * 1024 * 1024 + 50 * 256UL * 1024);
     BOOST_TEST(taken >= 40UL * 1024 * 1024 - part.size());
@@ -46,20 +49,48 @@
     std::list<response_buffer> buffers;
     for (int i = 0; i < 5; ++i)
     {
-        fill(buffers.emplace_back(budget));
+        fill(buffers.emplace_back(budget, engine_id(std::to_string(i))));
     }
-    response_buffer small(budget);
+    response_buffer small(budget, sound);
     BOOST_TEST(is_ok(small.append("small")));
     BOOST_TEST(small.take() == "small");
 }
 
+// Guards against one server that makes the responses of others fail.
+BOOST_AUTO_TEST_CASE(large_body_is_taken_while_one_server_sends_without_end)
+{
+    response_buffer_budget budget;
+    std::list<response_buffer> buffers;
+    for (int i = 0; i < 50; ++i)
+    {
+        fill(buffers.emplace_back(budget, faulty));
+    }
+    response_buffer large(budget, sound);
+    BOOST_TEST(fill(large) == 16UL * 1024 * 1024);
+}
+
+BOOST_AUTO_TEST_CASE(claim_grows_and_shrinks_within_the_budget)
+{
+    response_buffer_budget budget;
+    buffer_claim first(budget, faulty);
+    buffer_claim second(budget, faulty);
+    const std::size_t share = 20UL * 1024 * 1024;
+    BOOST_TEST(is_ok(first.resize(share)));
+    BOOST_TEST(!is_ok(second.resize(share / 2)));
+    BOOST_TEST(is_ok(first.resize(share / 2)));
+    BOOST_TEST(is_ok(second.resize(share / 2)));
+    BOOST_TEST(!is_ok(second.resize(share)));
+    BOOST_TEST(is_ok(second.resize(0)));
+    BOOST_TEST(is_ok(first.resize(share)));
+}
+
 BOOST_AUTO_TEST_CASE(budget_is_given_back)
 {
     response_buffer_budget budget;
     for (int i = 0; i < 10; ++i)
     {
-        response_buffer destroyed(budget);
-        response_buffer taken(budget);
+        response_buffer destroyed(budget, faulty);
+        response_buffer taken(budget, sound);
         BOOST_TEST(fill(destroyed) == 16UL * 1024 * 1024);
         BOOST_TEST(fill(taken) == 16UL * 1024 * 1024);
         taken.take();
