Control: a replica without a leader logs whom it hears and its members

leader.missing, once a second: term, log, members with their storage, from whom consensus messages came and how long ago.

--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -24,6 +24,7 @@
 #include <limpet/wire/link_hub.hpp>
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace limpet::control
@@ -49,6 +50,8 @@
 constexpr duration min_logged_delay = milliseconds(60);
 /// Shortest interval between two such log lines.
 constexpr duration delay_log_interval = milliseconds(250);
+/// Interval between the log lines of a replica that knows no leader.
+constexpr duration no_leader_log_interval = milliseconds(1000);
 
 /// Returns the VMs of the voters or of the learners, separated by commas.
 std::string names_of(const std::vector<replica::member_view>& members,
@@ -275,6 +278,7 @@
         {
             log_leader_change();
             log_member_changes();
+            log_missing_leader();
             if (m_orders)
             {
                 m_orders->record_versions();
@@ -313,6 +317,44 @@
                    {"members", state.members.size()}});
     }
 
+    /// Logs from whom a replica without a leader hears, and what it could be
+    /// elected with.
+    void log_missing_leader()
+    {
+        const time_point now = monotonic_clock::now();
+        if (m_leader != vm_id() || now < m_next_no_leader_log)
+        {
+            return;
+        }
+        m_next_no_leader_log = now + no_leader_log_interval;
+        std::string heard;
+        for (const auto& [vm, at] : m_consensus_heard_at)
+        {
+            const auto age = std::chrono::duration_cast<milliseconds>(now - at);
+            heard += (heard.empty() ? "" : ",") + vm.get() + "=" +
+                     std::to_string(age.count());
+        }
+        const replica::replica_view state = m_replica->view();
+        std::string incarnations;
+        for (const replica::member_view& each : state.members)
+        {
+            incarnations += (incarnations.empty() ? "" : ",") +
+                            each.id.vm.get() + "=" +
+                            std::to_string(each.id.storage.get());
+        }
+        log_event(log_level::warn,
+                  "leader.missing",
+                  {{"term", state.term.get()},
+                   {"last", state.last.get()},
+                   {"committed", state.committed.get()},
+                   {"incarnation", state.self.storage.get()},
+                   {"members", incarnations},
+                   {"voters", names_of(state.members, true)},
+                   {"learners", names_of(state.members, false)},
+                   {"heard_ms_ago", heard},
+                   {"writable", state.is_storage_writable}});
+    }
+
     void log_member_changes()
     {
         const replica::replica_view state = m_replica->view();
@@ -474,6 +516,7 @@
         if (kind == wire::channel::consensus)
         {
             const work_meter::timer work(m_meter, work_kind::consensus);
+            m_consensus_heard_at[from.vm] = monotonic_clock::now();
             m_replica->receive(from.vm, {payload.begin(), payload.end()});
         }
         else if (kind == wire::channel::directory && m_feed)
@@ -581,6 +624,9 @@
     bool m_is_feed_update_posted = false;
     /// Leader of the last leader.changed log line.
     vm_id m_leader;
+    time_point m_next_no_leader_log{};
+    /// When the last consensus message of each replica arrived.
+    std::map<vm_id, time_point> m_consensus_heard_at;
     /// Members of the last members.changed log line.
     std::string m_voters;
     std::string m_learners;
