Gateway: a planned stop takes only requests that can end, and answers the rest

Reported by operators: in a planned stop requests that came late in the grace were taken and passed on, and cut off without an answer at its end, among them some that may not be repeated. It can happen here: new requests were served for 2.6 s after SIGTERM whatever time was left (with a drain timeout of 3 s they had 0.4 s), and at the drain timeout all connections were closed without an answer, at the same moment at which the platform kills the process.

Servers are told no more time than is left.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -25,6 +25,9 @@
 /// The load balancer probes once a second and removes the gateway after the
 /// second failed probe.
 constexpr duration readiness_propagation_delay = milliseconds(2600);
+/// Time before the drain timeout at which requests in progress are ended, so
+/// that their callers have the final responses before the process exits.
+constexpr duration final_response_time = milliseconds(300);
 /// Interval between checks for open connections while draining.
 constexpr duration drain_poll_interval = milliseconds(50);
 /// Timeout of connecting to a server. Covers several round trips between data
@@ -69,7 +72,8 @@
                   false,
                   make_origins(),
                   make_quarantine()},
-          m_drain_timer(context)
+          m_drain_timer(context),
+          m_end_timer(context)
     {
     }
 
@@ -121,7 +125,11 @@
                   "gateway.drain",
                   {{"requests", m_caller_server->open_request_count()}});
         m_caller_server->wind_down();
-        m_drain_timer.expires_after(readiness_propagation_delay);
+        const duration time_to_end = std::max(
+            duration::zero(), m_settings.drain_timeout - final_response_time);
+        end_requests_after(time_to_end);
+        m_drain_timer.expires_after(
+            std::min(readiness_propagation_delay, time_to_end));
         m_drain_timer.async_wait(
             [this](boost::system::error_code cancelled)
             {
@@ -140,6 +148,7 @@
 
     void close() override
     {
+        m_end_timer.cancel();
         m_caller_server->close();
         m_readiness_server->close();
         if (m_metrics_server)
@@ -446,6 +455,24 @@
         return success();
     }
 
+    void end_requests_after(duration time_to_end)
+    {
+        m_state.drain_ends_at = monotonic_clock::now() + time_to_end;
+        m_end_timer.expires_after(time_to_end);
+        m_end_timer.async_wait(
+            [this](boost::system::error_code cancelled)
+            {
+                if (!cancelled)
+                {
+                    log_event(
+                        log_level::warn,
+                        "gateway.drain_ends",
+                        {{"requests", m_caller_server->open_request_count()}});
+                    m_state.end_requests();
+                }
+            });
+    }
+
     void poll_until_drained()
     {
         if (m_caller_server->connection_count() == 0)
@@ -476,6 +503,7 @@
     /// Of all routes of the configuration.
     duration m_max_stream_age{};
     net::steady_timer m_drain_timer;
+    net::steady_timer m_end_timer;
     std::function<void()> m_on_drained;
     bool m_draining = false;
 };
--- a/libs/gateway/src/gateway_state.cpp
+++ b/libs/gateway/src/gateway_state.cpp
@@ -1,5 +1,7 @@
 #include "gateway_state.hpp"
 
+#include "request_handler.hpp"
+
 namespace limpet::gateway
 {
 
@@ -26,4 +28,14 @@
         .first->second;
 }
 
+void gateway_state::end_requests()
+{
+    is_shutting_down = true;
+    for (request_handler* each : std::set(requests))
+    {
+        each->end_for_shutdown();
+    }
+    queue.wake_all();
+}
+
 } // namespace limpet::gateway
--- a/libs/gateway/src/gateway_state.hpp
+++ b/libs/gateway/src/gateway_state.hpp
@@ -18,11 +18,15 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 namespace limpet::gateway
 {
 
+class request_handler;
+
 /// Returns the longest time from the beginning of a stream of the route to an
 /// attempt to resume it: the caller waits for its first attempt and the next.
 duration max_stream_age(const directory::route& route);
@@ -52,8 +56,16 @@
     /// When callers return that were refused for the limits of each service's
     /// servers.
     std::map<std::string, admission::return_schedule> limit_returns = {};
+    /// When the requests in progress are ended because the gateway shuts down.
+    std::optional<time_point> drain_ends_at = {};
+    /// The requests in progress.
+    std::set<request_handler*> requests = {};
 
     admission::retry_budget& retry_budget_for(const std::string& service);
+
+    /// Refuses new requests and sends the final response of those in progress,
+    /// or cuts off their streams.
+    void end_requests();
 };
 
 } // namespace limpet::gateway
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -36,6 +36,9 @@
 /// A request may wait for capacity for this fraction (1/n) of the route's
 /// latency objective. The rest is the time that a server takes to start it.
 constexpr int objective_wait_divisor = 2;
+/// A request that may be repeated ends within so many latency objectives, for
+/// the decision whether a gateway that shuts down still takes it.
+constexpr int objectives_to_end = 2;
 /// Prompt tokens whose prefill takes a server about as long as the rest of an
 /// average request.
 constexpr double prefill_tokens_per_cost = 4096;
@@ -91,13 +94,30 @@
       m_exchange(caller),
       m_arrived_at(monotonic_clock::now())
 {
+    m_state.requests.insert(this);
 }
 
 request_handler::~request_handler()
 {
+    m_state.requests.erase(this);
     m_exchange.on_caller_gone(nullptr);
 }
 
+void request_handler::end_for_shutdown()
+{
+    m_is_ending = true;
+    m_deadline = std::min(m_deadline, monotonic_clock::now());
+    m_canceller.cancel();
+    if (m_open_response != nullptr)
+    {
+        m_open_response->cancel();
+    }
+    if (m_sleep != nullptr)
+    {
+        m_sleep->cancel();
+    }
+}
+
 net::awaitable<void> request_handler::run()
 {
     auto refusal = read_call();
@@ -199,6 +219,14 @@
     const duration timeout =
         std::min(m_call.patience.value_or(m_route->timeout), m_route->timeout);
     m_deadline = m_arrived_at + timeout;
+    if (m_state.drain_ends_at)
+    {
+        if (!can_end_before_shutdown())
+        {
+            return refusal_cause::shutting_down;
+        }
+        m_deadline = std::min(m_deadline, *m_state.drain_ends_at);
+    }
     // A resumed stream goes to the service that it had, unless the route has
     // changed.
     m_stream = is_resumed() && !m_call.resumes.get().empty() ? m_call.resumes
@@ -217,6 +245,17 @@
     return std::nullopt;
 }
 
+bool request_handler::can_end_before_shutdown() const
+{
+    // A request that is cut off and may not run twice cannot be sent again, so
+    // all of its time must be left.
+    const time_point needed_until =
+        directory::may_repeat(m_route->kind)
+            ? m_arrived_at + objectives_to_end * m_route->objective
+            : m_deadline;
+    return std::min(needed_until, m_deadline) <= *m_state.drain_ends_at;
+}
+
 bool request_handler::is_resumed() const
 {
     return m_route != nullptr &&
@@ -304,6 +343,10 @@
                  m_deadline - response_margin);
     for (;;)
     {
+        if (m_is_ending)
+        {
+            co_return refusal_cause::shutting_down;
+        }
         const time_point now = monotonic_clock::now();
         const auto choice = m_state.pool.choose(m_query, now);
         if (const auto* server = std::get_if<chosen_server>(&choice))
@@ -383,8 +426,10 @@
 {
     net::steady_timer timer(co_await net::this_coro::executor);
     timer.expires_after(span);
+    m_sleep = &timer;
     boost::system::error_code ignored;
     co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    m_sleep = nullptr;
 }
 
 net::awaitable<refusal_cause> request_handler::run_attempts()
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -39,6 +39,10 @@
 
     boost::asio::awaitable<void> run();
 
+    /// Lets run() end soon: a request that was not sent is refused, one without
+    /// a response gets a time-out, and a stream is cut off.
+    void end_for_shutdown();
+
 private:
     /// How one attempt at a server ended, as far as the caller is concerned.
     enum class attempt_result
@@ -94,6 +98,8 @@
     bool may_retry(attempt_result last);
     attempt_outcome outcome_of(attempt_result result) const;
     duration time_left() const;
+    /// Returns whether the gateway can serve the request before it shuts down.
+    bool can_end_before_shutdown() const;
     /// Returns whether no further attempt could end before the deadline.
     bool is_deadline_near() const;
     void finish_attempt(const chosen_server& server, attempt_outcome outcome);
@@ -135,7 +141,9 @@
 
     http::send_canceller m_canceller;
     http::response_stream* m_open_response = nullptr;
+    boost::asio::steady_timer* m_sleep = nullptr;
     bool m_caller_gone = false;
+    bool m_is_ending = false;
 
     /// Attempts that reached or may have reached a server, and those that did
     /// not.
--- a/libs/gateway/test/request_handler_test.cpp
+++ b/libs/gateway/test/request_handler_test.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -319,6 +321,72 @@
     BOOST_TEST(total_requests() == 0);
 }
 
+// Guards against requests that are taken late in a planned stop and cut off at
+// its end.
+BOOST_AUTO_TEST_CASE(request_that_may_not_end_before_the_shutdown_is_refused)
+{
+    add_server(answer_completely);
+    for (const auto kind : {directory::request_kind::single,
+                            directory::request_kind::stream,
+                            directory::request_kind::repeatable})
+    {
+        set_route(kind);
+        state.drain_ends_at = monotonic_clock::now() + milliseconds(1500);
+        BOOST_TEST(run().front() == "503 shutting_down");
+    }
+    BOOST_TEST(total_requests() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(request_that_can_end_before_the_shutdown_is_served)
+{
+    add_server(answer_completely);
+    set_route(directory::request_kind::single);
+    state.drain_ends_at = monotonic_clock::now() + seconds(11);
+    BOOST_TEST(run().front() == "200 whole");
+    set_route(directory::request_kind::repeatable);
+    state.drain_ends_at = monotonic_clock::now() + seconds(3);
+    BOOST_TEST(run().front() == "200 whole");
+}
+
+// Guards against requests that a planned stop cuts off without an answer.
+BOOST_AUTO_TEST_CASE(requests_in_progress_at_the_shutdown_get_a_final_response)
+{
+    set_route(directory::request_kind::single);
+    const auto answer_never = [](http::exchange& each) -> net::awaitable<void>
+    {
+        net::steady_timer never(co_await net::this_coro::executor);
+        never.expires_at(net::steady_timer::time_point::max());
+        each.on_caller_gone(
+            [&never]
+            {
+                never.cancel();
+            });
+        boost::system::error_code ignored;
+        co_await never.async_wait(
+            net::redirect_error(net::use_awaitable, ignored));
+    };
+    add_server(answer_never, 1);
+    net::steady_timer end(context, milliseconds(200));
+    end.async_wait(
+        [this](boost::system::error_code)
+        {
+            state.end_requests();
+        });
+    const time_point begun = monotonic_clock::now();
+    const auto& ended = run(40);
+    BOOST_TEST((monotonic_clock::now() - begun < seconds(1)));
+    const auto timed_out =
+        std::count(ended.begin(), ended.end(), "502 timed_out");
+    const auto refused = std::count_if(ended.begin(),
+                                       ended.end(),
+                                       [](const std::string& each)
+                                       {
+                                           return each.starts_with("503 ");
+                                       });
+    BOOST_TEST(timed_out == total_requests());
+    BOOST_TEST(timed_out + refused == 40);
+}
+
 BOOST_AUTO_TEST_CASE(gateway_without_a_configuration_refuses_at_once)
 {
     state.started_at -= seconds(5);
