--- a/libs/consensus/test/seeded_group_test.cpp
+++ b/libs/consensus/test/seeded_group_test.cpp
@@ -2,6 +2,7 @@
 /// Tests of groups that any VM may join. The seed VMs found the group, other
 /// VMs join it, and newly joined VMs replace lost voters.
 
+#include <limpet/base/random.hpp>
 #include <limpet/consensus/node.hpp>
 
 #include <boost/test/unit_test.hpp>
@@ -23,6 +24,8 @@
 /// Time for which a VM runs beside the VM that it replaces as planned.
 constexpr duration planned_overlap = seconds(2);
 constexpr duration recovery = seconds(12);
+/// Keeps the random numbers of groups with different seeds apart.
+constexpr std::uint64_t seed_stride = 7919;
 
 std::vector<vm_id> seeds_abc()
 {
@@ -89,6 +92,8 @@
     std::map<vm_id, std::uint64_t> restarts;
     std::uint64_t last_ticket = 1000;
     settings options;
+    /// Of the random numbers of all nodes.
+    std::uint64_t seed = 0;
     /// Bytes of entries and snapshots sent to each VM.
     std::map<vm_id, std::size_t> bytes_sent;
 
@@ -117,8 +122,8 @@
         begin.may_found = may_found;
         begin.accepts_any_vm = true;
         begin.state = disks[vm];
-        begin.seed =
-            std::hash<vm_id>{}(vm) + disks[vm].storage.get() + restarts[vm];
+        begin.seed = std::hash<vm_id>{}(vm) + disks[vm].storage.get() +
+                     restarts[vm] + seed * seed_stride;
         node made(options, std::move(begin), now);
         nodes.insert_or_assign(vm, std::move(made));
         down.erase(vm);
@@ -289,6 +294,7 @@
 struct seeded_group_that_lost_power : seeded_group
 {
     std::string acknowledged = "acknowledged";
+    random_source random{0};
 
     seeded_group_that_lost_power()
     {
@@ -327,6 +333,91 @@
         restart(vms);
     }
 
+    /// Founds a group of so many VMs, of which three are seeds.
+    void found(std::size_t vms)
+    {
+        for (const char* name : {"a", "b", "c"})
+        {
+            start(name, seeds_abc(), true);
+        }
+        for (std::size_t i = 3; i < vms; ++i)
+        {
+            start("d" + std::to_string(i), seeds_abc(), false);
+        }
+        run_for(seconds(13));
+        BOOST_REQUIRE(leaders().size() == 1U);
+        BOOST_REQUIRE(voters() == vms);
+    }
+
+    duration up_to(duration longest)
+    {
+        return duration(static_cast<duration::rep>(
+            random.below(static_cast<std::uint64_t>(longest.count()))));
+    }
+
+    /// Proposes commands at the leader, if there is one, for so long.
+    void run_amid_commands(duration span)
+    {
+        for (const time_point end = now + span; now < end;)
+        {
+            const auto leading = leaders();
+            if (!leading.empty())
+            {
+                step(leading.back(), propose{{{ticket(++last_ticket), "x"}}});
+            }
+            run_for(std::min<duration>(milliseconds(200), end - now));
+        }
+        BOOST_REQUIRE(leaders().size() == 1U);
+    }
+
+    /// Returns the VM with its disk, or with an empty one.
+    void bring_back(const vm_id& vm, bool has_disk)
+    {
+        ++restarts[vm];
+        if (!has_disk)
+        {
+            const std::uint64_t former = disks[vm].storage.get();
+            disks[vm] = storage::recovered_state{};
+            disks[vm].storage = incarnation(former + 1);
+        }
+        start_from_disk(vm, seeds_abc(), false);
+        step(vm, contacts_learned{running()});
+    }
+
+    /// Two leaders are lost for good, one loses power and one its disk, each
+    /// some seconds after the group has recovered from the loss before. At the
+    /// end all lose power, and as many disks as the group tolerates.
+    void lose_leaders(std::size_t tolerated)
+    {
+        for (const char* name : {"x", "y"})
+        {
+            down.insert(leaders().back());
+            run_for(seconds(1) + up_to(milliseconds(200)));
+            join(name);
+            run_amid_commands(catch_up + up_to(seconds(2)));
+        }
+        for (const bool has_disk : {true, false})
+        {
+            const vm_id leader = leaders().back();
+            down.insert(leader);
+            sent.clear();
+            run_for(has_disk ? up_to(milliseconds(300)) : seconds(2));
+            bring_back(leader, has_disk);
+            run_amid_commands(catch_up + up_to(seconds(2)));
+        }
+        BOOST_REQUIRE(propose_and_wait(leaders().back(), acknowledged));
+        const auto vms = running();
+        sent.clear();
+        down.insert(vms.begin(), vms.end());
+        for (std::size_t i = 0; i < vms.size(); ++i)
+        {
+            bring_back(vms[(i + seed) % vms.size()], i >= tolerated);
+        }
+        run_for(recovery);
+        BOOST_REQUIRE(leaders().size() == 1U);
+        BOOST_TEST(holds(leaders().back(), acknowledged));
+    }
+
     void check_recovery(const replacements& what)
     {
         replace_three(what);
@@ -593,3 +684,31 @@
         }
     }
 }
+
+// Guards against a group without a leader for good after leaders were lost one
+// after the other.
+BOOST_AUTO_TEST_CASE(group_whose_leaders_are_lost_in_turn_recovers)
+{
+    struct group_size
+    {
+        std::size_t vms = 0;
+        std::size_t tolerated = 0;
+    };
+    for (const group_size each :
+         {group_size{3, 1}, {4, 1}, {5, 1}, {5, 2}, {6, 2}, {8, 2}})
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed)
+        {
+            BOOST_TEST_CONTEXT(each.vms << " VMs, " << each.tolerated
+                                        << " may be lost, seed " << seed)
+            {
+                seeded_group_that_lost_power group;
+                group.seed = seed;
+                group.random = random_source(seed);
+                group.options.min_voters = 2 * each.tolerated + 1;
+                group.found(each.vms);
+                group.lose_leaders(each.tolerated);
+            }
+        }
+    }
+}
