--- a/tests/soak/planned_stop.py
+++ b/tests/soak/planned_stop.py
@@ -4,7 +4,8 @@
 
 Callers go on sending to the router until it has ended. Its grace is shorter
 than the time that requests are given, and servers are slow. Exits with 1 if a
-request that a server has run gets no answer, or if the router takes none.
+request that a server has run gets no answer, or if the router does not serve
+some requests and refuse others.
 """
 
 import argparse
