Control: logs tell where orders and the news of leaving servers were held

A late configuration or a server's word that it leaves could not be traced to a hop: the logs name neither the bytes of a document on each link nor when a replica had it. Added: orders.applied and server.leaves at replicas, orders.received at routers (sender, bytes, base, time held at the sender), and in control.delayed what the sent frames held.

--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -441,6 +441,7 @@
                    {"persist_ms", ms(delays.persist)},
                    {"round_trip_ms", ms(delays.round_trip)},
                    {"traffic", m_traffic.take_summary(m_hub->counters())},
+                   {"sent", m_feed ? m_feed->sent().take_summary() : ""},
                    {"work", m_meter.take_summary()}});
     }
 
--- a/libs/control/src/directory_feed.cpp
+++ b/libs/control/src/directory_feed.cpp
@@ -191,7 +191,7 @@
     if (!frame.is_router)
     {
         m_replicas_heard_at[from.vm] = m_loop.now();
-        merge_registrations(frame);
+        merge_registrations(from.vm, frame);
         add_contact(from.vm);
         for (const vm_id& each : frame.replicas)
         {
@@ -207,12 +207,23 @@
     }
 }
 
-void directory_feed::merge_registrations(const directory::update& frame)
+void directory_feed::merge_registrations(const vm_id& from,
+                                         const directory::update& frame)
 {
     bool is_change = false;
     for (const directory::registration& each : frame.registrations)
     {
-        is_change |= m_table.merge(each) == directory::merge_result::changed;
+        const bool has_changed =
+            m_table.merge(each) == directory::merge_result::changed;
+        is_change |= has_changed;
+        if (has_changed && is_leaving(each))
+        {
+            log_event(log_level::info,
+                      "server.leaves",
+                      {{"engine", each.id.get()},
+                       {"state", to_string(each.state)},
+                       {"replica", from.get()}});
+        }
     }
     for (const directory::heartbeat& each : frame.heartbeats)
     {
@@ -690,7 +701,7 @@
 
 void directory_feed::orders_changed()
 {
-    m_orders.orders_changed();
+    m_orders.orders_changed(m_loop.now());
     request_updates();
 }
 
@@ -740,6 +751,7 @@
     std::string payload = encode(frame, m_loop.now());
     m_round_bytes += payload.size();
     m_budget.charge(payload.size(), m_loop.now());
+    m_sent.record(content_of(frame), payload.size());
     const status sent =
         m_hub->send(peer, wire::channel::directory, std::move(payload));
     if (!is_ok(sent))
--- a/libs/control/src/directory_feed.hpp
+++ b/libs/control/src/directory_feed.hpp
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "content_meter.hpp"
 #include "event_loop.hpp"
 #include "link_budget.hpp"
 #include "load_feed.hpp"
@@ -100,6 +101,12 @@
         return m_table.size();
     }
 
+    /// Returns what was sent, except for the exchange of loads.
+    content_meter& sent() noexcept
+    {
+        return m_sent;
+    }
+
 private:
     struct subscriber
     {
@@ -174,7 +181,7 @@
     void assign_routers();
     /// Returns how long this replica has known all registrations.
     duration history(time_point now) const;
-    void merge_registrations(const directory::update& frame);
+    void merge_registrations(const vm_id& from, const directory::update& frame);
     void update_subscriber(const wire::link_identity& from,
                            const directory::update& frame);
     /// Sends the changes that are due at the subscriber. If there are
@@ -217,6 +224,7 @@
     std::deque<std::pair<time_point, std::uint64_t>> m_change_times;
     time_point m_table_changed_at{};
     link_budget m_budget;
+    content_meter m_sent;
     /// Bytes sent since the current or last round began.
     std::size_t m_round_bytes = 0;
     /// Whether the current round has sent a list of all routers.
--- a/libs/control/src/order_feed.cpp
+++ b/libs/control/src/order_feed.cpp
@@ -1,6 +1,7 @@
 #include "order_feed.hpp"
 
 #include <limpet/base/hash.hpp>
+#include <limpet/base/log.hpp>
 
 #include <utility>
 
@@ -24,9 +25,20 @@
 {
 }
 
-void order_feed::orders_changed()
+void order_feed::orders_changed(time_point now)
 {
-    m_documents.add(m_source.orders());
+    const directory::intent& orders = m_source.orders();
+    if (orders.index != m_applied_index)
+    {
+        m_applied_index = orders.index;
+        m_applied_at = now;
+        log_event(log_level::info,
+                  "orders.applied",
+                  {{"index", orders.index},
+                   {"version", orders.version.get()},
+                   {"routers", m_routers.size()}});
+    }
+    m_documents.add(orders);
 }
 
 bool order_feed::record_state(const vm_id& router,
@@ -77,6 +89,7 @@
     frame.intent_index = orders.index;
     frame.orders = orders;
     frame.is_sure = has_lease;
+    frame.held = now - m_applied_at.value_or(now);
     frame.change = std::move(payload.change);
     if (frame.change)
     {
--- a/libs/control/src/order_feed.hpp
+++ b/libs/control/src/order_feed.hpp
@@ -49,8 +49,8 @@
 public:
     order_feed(vm_id self, order_source source);
 
-    /// Records newly applied orders.
-    void orders_changed();
+    /// Records orders that were applied at the time.
+    void orders_changed(time_point now);
 
     /// Records the indexes that a router reported; is_new if the router
     /// restarted or was not known. Returns whether a document has arrived at
@@ -103,6 +103,9 @@
     order_source m_source;
     std::map<vm_id, order_delivery> m_routers;
     document_history m_documents;
+    /// Index of the orders in force, and when this replica applied them.
+    std::uint64_t m_applied_index = 0;
+    std::optional<time_point> m_applied_at;
     delivery_window m_window;
     bool m_has_deferred = false;
     bool m_had_deferred = false;
--- a/libs/control/test/order_feed_test.cpp
+++ b/libs/control/test/order_feed_test.cpp
@@ -67,8 +67,8 @@
         order.document =
             std::make_shared<const directory::stored_document>(std::move(text));
         orders.apply(version, order);
-        first.orders_changed();
-        second.orders_changed();
+        first.orders_changed(start);
+        second.orders_changed(start);
     }
 
     /// Returns a text that does not shrink when it is compressed.
--- a/libs/directory/include/limpet/directory/update.hpp
+++ b/libs/directory/include/limpet/directory/update.hpp
@@ -54,6 +54,8 @@
     bool is_sure = false;
     /// Replaces the document of the orders.
     std::optional<document_change> change;
+    /// Time for which the sender has had the orders.
+    duration held{};
     /// Replicas known to the sender.
     std::vector<vm_id> replicas;
     /// Number of routers that sent the sender a frame recently.
--- a/libs/directory/src/update.cpp
+++ b/libs/directory/src/update.cpp
@@ -424,7 +424,8 @@
                                     limits,
                                     to_wire_time(from.asked_at),
                                     from.is_settled,
-                                    packed));
+                                    packed,
+                                    to_wire_milliseconds(from.held)));
     return bytes_of(builder);
 }
 
@@ -463,6 +464,7 @@
     out.digests = read_digests(*from);
     out.asked_at = time_point(milliseconds(from->asked_ms()));
     out.is_settled = from->is_settled();
+    out.held = milliseconds(from->held_ms());
     if (from->heartbeats() != nullptr)
     {
         for (const fb::heartbeat* each : *from->heartbeats())
--- a/libs/gateway/src/directory_client.cpp
+++ b/libs/gateway/src/directory_client.cpp
@@ -450,6 +450,7 @@
     }
     if (update.orders)
     {
+        log_orders(from, update, payload.size());
         apply_orders(update);
         // Confirms the orders: the sender waits for the confirmation before it
         // sends newer ones.
@@ -511,6 +512,22 @@
     }
 }
 
+void directory_client::log_orders(const vm_id& from,
+                                  const directory::update& update,
+                                  std::size_t bytes) const
+{
+    if (update.orders->index > m_orders.index)
+    {
+        log_event(log_level::info,
+                  "orders.received",
+                  {{"index", update.orders->index},
+                   {"replica", from.get()},
+                   {"bytes", bytes},
+                   {"base", update.change ? update.change->base_index : 0},
+                   {"held_ms", to_milliseconds(update.held)}});
+    }
+}
+
 void directory_client::apply_orders(const directory::update& update)
 {
     if (!store_if_newer(update))
--- a/libs/gateway/src/directory_client.hpp
+++ b/libs/gateway/src/directory_client.hpp
@@ -153,6 +153,10 @@
                              const directory::update& update);
     void merge_registrations(const vm_id& from,
                              const directory::update& update);
+    /// Logs newer orders than the stored ones, and how they came.
+    void log_orders(const vm_id& from,
+                    const directory::update& update,
+                    std::size_t bytes) const;
     void apply_orders(const directory::update& update);
     /// Stores the orders of the update if they are newer than the stored ones.
     /// Returns whether the stored orders are now at least as new as the
