Control: replicas tell each other first of servers that leave

Routers were told of leaving servers first already; now replicas are too.

server_that_leaves_is_sent_to_replicas_before_a_flood_of_changes: the row was not sent within 200 ms behind 1,000 changes before, is after.

--- a/libs/control/src/directory_feed.cpp
+++ b/libs/control/src/directory_feed.cpp
@@ -366,6 +366,7 @@
     {
         known->second.sent_change = 0;
         known->second.sent_leaving = 0;
+        known->second.sent_own_leaving = 0;
         known->second.needs_routers = true;
         known->second.sent_replicas.clear();
     }
@@ -507,13 +508,36 @@
 void directory_feed::add_own_registrations(directory::update& frame,
                                            subscriber& to)
 {
+    add_own_leaving_servers(frame, to);
     const std::size_t limit = rows_left();
     for (auto each = m_own_changes.upper_bound(to.sent_own_change);
          each != m_own_changes.end() && frame.registrations.size() < limit;
          ++each)
     {
         to.sent_own_change = each->first;
-        if (const auto* row = m_table.find(each->second))
+        const auto* row = m_table.find(each->second);
+        const bool was_sent = row != nullptr && is_leaving(*row) &&
+                              each->first <= to.sent_own_leaving;
+        if (row != nullptr && !was_sent)
+        {
+            frame.registrations.push_back(*row);
+        }
+    }
+}
+
+void directory_feed::add_own_leaving_servers(directory::update& frame,
+                                             subscriber& to) const
+{
+    const std::uint64_t sent =
+        std::max(to.sent_own_leaving, to.sent_own_change);
+    for (auto each = m_own_changes.upper_bound(sent);
+         each != m_own_changes.end() &&
+         frame.registrations.size() < max_rows_per_update;
+         ++each)
+    {
+        to.sent_own_leaving = each->first;
+        const auto* row = m_table.find(each->second);
+        if (row != nullptr && is_leaving(*row))
         {
             frame.registrations.push_back(*row);
         }
--- a/libs/control/src/directory_feed.hpp
+++ b/libs/control/src/directory_feed.hpp
@@ -135,6 +135,8 @@
         std::array<std::uint64_t, directory::digest_count> known_changes{};
         /// Number of the last of this replica's own changes that was sent.
         std::uint64_t sent_own_change = 0;
+        /// The same for servers that leave.
+        std::uint64_t sent_own_leaving = 0;
     };
 
     /// Last change of a router.
@@ -167,6 +169,10 @@
     void add_leaving_servers(directory::update& frame, subscriber& to);
     void add_pending_registrations(directory::update& frame, subscriber& to);
     void add_own_registrations(directory::update& frame, subscriber& to);
+    /// Adds the servers that leave before all other changes, whatever the round
+    /// has sent: the other replicas are to tell their routers as soon.
+    void add_own_leaving_servers(directory::update& frame,
+                                 subscriber& to) const;
     void record_change_time(time_point now);
     void record_own_change(const engine_id& id);
     void forget_own_changes();
--- a/libs/control/test/directory_feed_test.cpp
+++ b/libs/control/test/directory_feed_test.cpp
@@ -661,4 +661,31 @@
     BOOST_TEST(times_sent(routers.front(), "leaving") == 1U);
 }
 
+// Guards against the news that a server leaves waiting at the replica it
+// reported to, behind changes of other servers.
+BOOST_FIXTURE_TEST_CASE(
+    server_that_leaves_is_sent_to_replicas_before_a_flood_of_changes,
+    shared_routers_fixture)
+{
+    for (std::size_t i = 0; i < 1000; ++i)
+    {
+        feed.take(make_row(std::to_string(i)));
+    }
+    directory::registration leaving = make_row("leaving");
+    leaving.state = directory::server_state::draining;
+    feed.take(leaving);
+    loop.run_for(milliseconds(200));
+    BOOST_TEST(times_sent(other, "999") == 0U);
+    BOOST_TEST(times_sent(other, "leaving") == 1U);
+    report_from_replica({});
+    loop.run_for(milliseconds(900));
+    BOOST_TEST(times_sent(other, "leaving") == 1U);
+    for (int i = 0; i < 10; ++i)
+    {
+        report_from_replica({});
+        loop.run_for(seconds(1));
+    }
+    BOOST_TEST(times_sent(other, "999") > 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
