Streams: what follows a break is judged as strictly as a beginning

Cause: a writer that had begun ignored all later heads, and events without an id pass through.

An answer that goes on with a stream now has status 200 and its type; the rest of a stream has no event without an id, except for the closing one and comments; an error is no event stream whatever its type.

An answer that stops in its head was not reproduced: the cuts at each byte now also follow an interim answer and come from HTTP/1.0.

--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -87,6 +87,7 @@
     forward_stream(std::unique_ptr<http::response_stream> answer);
     /// Sends the head of the response to the caller, if none was sent yet. From
     /// then on only servers of the same version may continue the stream.
+    bool may_continue_stream(const http::response_head& head) const;
     boost::asio::awaitable<void> begin_stream(const http::response_head& head);
     /// Cuts off a stream that cannot continue.
     void cut_off_stream();
@@ -160,6 +161,8 @@
     /// as it does when it crashes.
     bool m_is_cut_off = false;
     bool m_stream_begun = false;
+    /// Content-Type of the stream that has begun.
+    std::string m_stream_type;
     /// Whether the server of the last attempt has shown that the request does
     /// not crash it, and when the first event of its answer arrived.
     bool m_is_attempt_sound = false;
--- a/libs/gateway/src/request_handler_response.cpp
+++ b/libs/gateway/src/request_handler_response.cpp
@@ -14,6 +14,7 @@
 
 /// Longest event that is forwarded. A longer one is treated as malformed.
 constexpr std::size_t max_event_bytes = 1024UL * 1024;
+constexpr std::string_view content_type = "Content-Type";
 /// Lowest HTTP status that is no success.
 constexpr unsigned first_redirection_status = 300;
 /// Lowest HTTP status that counts as a failure of the server.
@@ -71,7 +72,7 @@
         co_return m_stream_begun ? attempt_result::interrupted
                                  : attempt_result::not_run;
     }
-    if (!fields.is_intact || (m_stream_begun && answer->head().status != 200))
+    if (!fields.is_intact || !may_continue_stream(answer->head()))
     {
         m_last_failure = "response cannot be forwarded";
         finish_attempt(server, attempt_outcome::broken);
@@ -95,6 +96,15 @@
     co_return result;
 }
 
+/// Returns whether no stream has begun, or the response is of its kind. An
+/// error with status 200 differs by its type.
+bool request_handler::may_continue_stream(const http::response_head& head) const
+{
+    return !m_stream_begun ||
+           (head.status == 200 &&
+            head.headers.value_or_empty(content_type) == m_stream_type);
+}
+
 void request_handler::record_requests_taken(const server_answer& fields)
 {
     server_pool& pool = m_state.pool;
@@ -294,6 +304,7 @@
     m_stream_begun = true;
     m_query.version = m_server_version_key;
     m_status = head.status;
+    m_stream_type = head.headers.value_or_empty(content_type);
     m_first_byte_at = monotonic_clock::now();
     co_await m_exchange.begin_stream(head);
 }
--- a/libs/http/include/limpet/http/event_splitter.hpp
+++ b/libs/http/include/limpet/http/event_splitter.hpp
@@ -28,7 +28,7 @@
 
 /// Finds event boundaries, checks that numbered events follow each other, and
 /// drops those that the caller already has. Events without an id are passed
-/// on as they are, up to a bound.
+/// on as they are, up to a bound; the rest of a stream has none of them.
 class event_splitter
 {
 public:
@@ -38,7 +38,9 @@
     event_splitter(std::uint64_t resume_after, std::size_t max_event_bytes);
 
     /// Takes the next bytes. Errors: malformed for an event that is too long,
-    /// an id that is no number, or a gap between ids.
+    /// an id that is no number, a gap between ids, or an event without an id
+    /// after `resume_after`, which may belong to no stream: the closing event
+    /// and comments need none.
     outcome<event_batch> feed(std::string_view bytes);
 
     /// Returns whether the closing event was seen.
@@ -60,6 +62,7 @@
 private:
     status take_event(std::string_view event, event_batch& batch);
 
+    bool m_is_rest;
     std::uint64_t m_last_event;
     std::size_t m_max_event_bytes;
     std::string m_rest;
--- a/libs/http/src/event_splitter.cpp
+++ b/libs/http/src/event_splitter.cpp
@@ -32,6 +32,8 @@
 {
     std::optional<std::string_view> id;
     bool closing = false;
+    /// Whether it has no lines but comments.
+    bool is_comment = true;
 };
 
 event_fields read_fields(std::string_view event)
@@ -47,6 +49,7 @@
             fields.id = trimmed(line.substr(id_field.size()));
         }
         fields.closing |= trimmed(line) == closing_data;
+        fields.is_comment &= trimmed(line).empty() || line.front() == ':';
     }
     return fields;
 }
@@ -67,7 +70,8 @@
 
 event_splitter::event_splitter(std::uint64_t resume_after,
                                std::size_t max_event_bytes)
-    : m_last_event(resume_after),
+    : m_is_rest(resume_after > 0),
+      m_last_event(resume_after),
       m_max_event_bytes(max_event_bytes)
 {
 }
@@ -133,6 +137,11 @@
         batch.last_event = m_last_event;
         ++batch.events;
     }
+    else if (m_is_rest && !fields.closing && !fields.is_comment)
+    {
+        return error{error_code::malformed,
+                     "event without an id in the rest of a stream"};
+    }
     m_done |= fields.closing;
     batch.done |= fields.closing;
     batch.bytes.append(event);
--- a/libs/http/test/client_test.cpp
+++ b/libs/http/test/client_test.cpp
@@ -237,7 +237,26 @@
     return {begin + body, begin.size(), ends_with_connection};
 }
 
+/// Returns the answer after an interim one.
+whole_answer after_interim(const whole_answer& last)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\nA: b\r\n\r\n";
+    return {interim + last.bytes,
+            interim.size() + last.body_begin,
+            last.ends_with_connection};
+}
+
+/// Returns an answer of the first version, which ends with its connection.
+whole_answer make_old()
+{
+    const std::string begin = "HTTP/1.0 200 OK\r\nA: b\r\n\r\n";
+    return {begin + "ok!", begin.size(), true};
+}
+
 const whole_answer whole_answers[] = {
+    after_interim(make_whole("Content-Length: 3\r\n", "ok!")),
+    after_interim(make_whole("", "ok!", true)),
+    make_old(),
     make_whole("Content-Length: 3\r\n", "ok!"),
     make_whole("Transfer-Encoding: chunked\r\n",
                "1;a=b\r\no\r\n2\r\nk!\r\n0\r\n\r\n"),
--- a/libs/http/test/event_splitter_test.cpp
+++ b/libs/http/test/event_splitter_test.cpp
@@ -108,6 +108,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(rest_of_a_stream_has_no_event_without_an_id)
+{
+    for (const std::string& event :
+         {std::string("it failed\n\n"),
+          std::string("data: it failed\n\n"),
+          std::string("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n\n\n")})
+    {
+        event_splitter whole(0, max_event_bytes);
+        BOOST_TEST(is_ok(whole.feed(event)));
+        event_splitter rest(1, max_event_bytes);
+        BOOST_TEST(!is_ok(rest.feed(event)));
+    }
+    event_splitter rest(1, max_event_bytes);
+    const std::string stream = ": x\n\n" + make_event(2) + closing;
+    const auto batch = rest.feed(stream);
+    BOOST_REQUIRE(is_ok(batch));
+    BOOST_TEST(value_of(batch).bytes == stream);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_stream_is_refused)
 {
     const std::string streams[] = {
--- a/libs/pipeline/src/attempt.cpp
+++ b/libs/pipeline/src/attempt.cpp
@@ -1,5 +1,6 @@
 #include "attempt.hpp"
 
+#include "headers.hpp"
 #include "served_exchange.hpp"
 
 #include <algorithm>
@@ -210,6 +211,15 @@
     {
         co_return;
     }
+    if (m_writer.started() && !is_event_stream(message.head))
+    {
+        send(cancel_message{});
+        fail(finish_result::broken,
+             {error_code::unavailable,
+              "another engine answered the rest of the stream with status " +
+                  std::to_string(message.head.status)});
+        co_return;
+    }
     const status written = co_await m_writer.head(message.head);
     if (!is_ok(written))
     {
--- a/libs/pipeline/src/headers.hpp
+++ b/libs/pipeline/src/headers.hpp
@@ -34,11 +34,14 @@
 namespace limpet::pipeline
 {
 
-/// Returns whether the response is a stream of server-sent events.
+/// Returns whether the response is a stream of server-sent events. That of an
+/// error is not: no other engine's events may follow it.
 inline bool is_event_stream(const http::response_head& head)
 {
-    return head.headers.value_or_empty(headers::content_type)
-        .starts_with("text/event-stream");
+    constexpr unsigned ok = 200;
+    return head.status == ok &&
+           head.headers.value_or_empty(headers::content_type)
+               .starts_with("text/event-stream");
 }
 
 } // namespace limpet::pipeline
--- a/libs/pipeline/test/served_exchange_test.cpp
+++ b/libs/pipeline/test/served_exchange_test.cpp
@@ -1,6 +1,7 @@
 /// One request at a server, without a network.
 
 #include "headers.hpp"
+#include "recording_hub.hpp"
 #include "served_exchange.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -15,44 +16,6 @@
 namespace
 {
 
-/// Keeps the frames that are sent.
-class recording_hub final : public wire::link_hub
-{
-public:
-    const wire::link_identity& self() const override
-    {
-        return m_self;
-    }
-
-    void set_peer(const vm_id&, const net::ip::tcp::endpoint&) override {}
-
-    void remove_peer(const vm_id&) override {}
-
-    status send(const vm_id&, wire::channel, std::string payload) override
-    {
-        frames.push_back(std::move(payload));
-        return success();
-    }
-
-    const wire::traffic_counters& counters() const override
-    {
-        return m_counters;
-    }
-
-    status set_fault(const vm_id&, wire::link_fault) override
-    {
-        return success();
-    }
-
-    void close() override {}
-
-    std::vector<std::string> frames;
-
-private:
-    wire::link_identity m_self;
-    wire::traffic_counters m_counters;
-};
-
 /// A response without a body.
 class empty_response final : public http::response_stream
 {
