Control: the leader waits for a router's report before it takes a relay's place

Routers confirm a document to its sender and report to the others twice a second. After 400 ms the leader took routers that had the document for ones that lack it, and sent it again. 900 ms cover the interval.

The bounds for a relay that delivers nothing hold (order_feed_test: 1 s, and 2 s amid newer documents).

--- a/libs/control/src/order_feed.cpp
+++ b/libs/control/src/order_feed.cpp
@@ -12,10 +12,10 @@
 {
 
 /// Time after which the leader sends a document itself if the replica assigned
-/// to the router has not delivered it. Sufficient for a document on an idle
-/// link; short compared to the time in which an order must be in force at all
-/// routers.
-constexpr duration relay_timeout = milliseconds(400);
+/// to the router has not delivered it. Longer than a delivery and the interval
+/// of the router's reports to the leader; short compared to the time in which
+/// an order must be in force at all routers.
+constexpr duration relay_timeout = milliseconds(900);
 /// Routers to which one router passes a document on: what it sends takes its
 /// link of 10 Mbit/s less than 200 ms with a document of 30 kB.
 constexpr std::size_t max_followers = 8;
