--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -161,7 +161,7 @@
     /// as it does when it crashes.
     bool m_is_cut_off = false;
     bool m_stream_begun = false;
-    /// Content-Type of the stream that has begun.
+    /// Media type of the stream that has begun.
     std::string m_stream_type;
     /// Whether the server of the last attempt has shown that the request does
     /// not crash it, and when the first event of its answer arrived.
--- a/libs/gateway/src/request_handler_response.cpp
+++ b/libs/gateway/src/request_handler_response.cpp
@@ -2,6 +2,8 @@
 
 #include <limpet/http/event_splitter.hpp>
 
+#include <boost/beast/core/string.hpp>
+
 #include <algorithm>
 
 namespace limpet::gateway
@@ -20,6 +22,15 @@
 /// Lowest HTTP status that counts as a failure of the server.
 constexpr unsigned first_failure_status = 500;
 
+/// Returns the Content-Type without its parameters.
+std::string_view media_type_of(const http::response_head& head)
+{
+    const std::string_view text = head.headers.value_or_empty(content_type);
+    const std::size_t end = std::min(text.find(';'), text.size());
+    const std::size_t last = text.substr(0, end).find_last_not_of(" \t");
+    return text.substr(0, last == std::string_view::npos ? 0 : last + 1);
+}
+
 } // namespace
 
 bool is_acknowledgement_timeout(const error& reason)
@@ -96,13 +107,13 @@
     co_return result;
 }
 
-/// Returns whether no stream has begun, or the response is of its kind. An
+/// Returns whether no stream has begun, or the response may go on with it. An
 /// error with status 200 differs by its type.
 bool request_handler::may_continue_stream(const http::response_head& head) const
 {
     return !m_stream_begun ||
            (head.status == 200 &&
-            head.headers.value_or_empty(content_type) == m_stream_type);
+            boost::beast::iequals(media_type_of(head), m_stream_type));
 }
 
 void request_handler::record_requests_taken(const server_answer& fields)
@@ -304,7 +315,7 @@
     m_stream_begun = true;
     m_query.version = m_server_version_key;
     m_status = head.status;
-    m_stream_type = head.headers.value_or_empty(content_type);
+    m_stream_type = media_type_of(head);
     m_first_byte_at = monotonic_clock::now();
     co_await m_exchange.begin_stream(head);
 }
--- a/libs/gateway/test/resumed_stream_errors_test.cpp
+++ b/libs/gateway/test/resumed_stream_errors_test.cpp
@@ -179,4 +179,20 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(stream_goes_on_whatever_the_parameters_of_its_type)
+{
+    const std::string rest = "id: 2\ndata: two\n\n";
+    break_off(body_delimiter::length, connection_end::closed);
+    for (const std::string& type :
+         {stream_type,
+          stream_type + "; charset=utf-8",
+          std::string("Text/Event-Stream ;charset=utf-8")})
+    {
+        second.set_answer(
+            response_text(200, type, body_delimiter::chunks, rest),
+            connection_end::closed);
+        BOOST_TEST(fetch() == "200 id: 1\ndata: one\n\n" + rest);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
