--- a/libs/gateway/test/resumed_stream_errors_test.cpp
+++ b/libs/gateway/test/resumed_stream_errors_test.cpp
@@ -75,7 +75,7 @@
 {
     raw_server first{context};
     raw_server second{context};
-    int m_seconds = 0;
+    int registrations_of_second = 0;
 
     stream_with_failing_successor()
     {
@@ -100,11 +100,11 @@
     std::string fetch()
     {
         add_raw_server(first.endpoint());
-        const std::string former = "b-" + std::to_string(m_seconds);
+        const std::string former = "b-" + std::to_string(registrations_of_second);
         register_server(
             former, second.endpoint(), 8, directory::server_state::gone);
         register_server(
-            "b-" + std::to_string(++m_seconds), second.endpoint(), 8);
+            "b-" + std::to_string(++registrations_of_second), second.endpoint(), 8);
         return run().front();
     }
 
