--- a/libs/control/test/flooded_control_test.cpp
+++ b/libs/control/test/flooded_control_test.cpp
@@ -163,8 +163,11 @@
     }
 }
 
-// Guards against documents that reach one router after the other.
-BOOST_AUTO_TEST_CASE(large_configuration_reaches_194_routers_in_time)
+namespace
+{
+
+/// Sends large configurations to 194 routers amid a release.
+void check_large_configuration(std::uint64_t lost_forwards)
 {
     // Of the platform's settings: from an acknowledgement to in force, and to
     // no more requests at a server that drains.
@@ -181,6 +184,7 @@
         options.order_period = seconds(4);
         options.document_bytes = 60'000;
         options.replaces_document = true;
+        options.lost_forwards = lost_forwards;
         options.seed = seed;
         const flood_result seen = flood(options);
         check_leader(seen);
@@ -194,6 +198,20 @@
     }
 }
 
+} // namespace
+
+// Guards against documents that reach one router after the other.
+BOOST_AUTO_TEST_CASE(large_configuration_reaches_194_routers_in_time)
+{
+    check_large_configuration(0);
+}
+
+BOOST_AUTO_TEST_CASE(
+    large_configuration_reaches_194_routers_if_a_tenth_forwards_nothing)
+{
+    check_large_configuration(10);
+}
+
 BOOST_AUTO_TEST_CASE(group_whose_leader_is_flooded_by_3000_servers_keeps_it)
 {
     for (const flood_result& each : flood_with(3000))
--- a/libs/control/test/flooded_fleet.cpp
+++ b/libs/control/test/flooded_fleet.cpp
@@ -695,7 +695,9 @@
                                    const vm_id& replica,
                                    const directory::update& frame)
 {
-    if (frame.forward_to.empty())
+    constexpr std::uint64_t all = 100;
+    if (frame.forward_to.empty() ||
+        m_random.below(all) < m_options.lost_forwards)
     {
         return;
     }
--- a/libs/control/test/flooded_fleet.hpp
+++ b/libs/control/test/flooded_fleet.hpp
@@ -48,6 +48,8 @@
     simulated_process::budget replica{0.06, 6e6};
     simulated_process::budget router{0.12, 10e6};
     std::size_t data_centres = 6;
+    /// Percentage of the frames to pass on that routers lose.
+    std::uint64_t lost_forwards = 0;
     std::uint64_t seed = 1;
 };
 
--- a/libs/gateway/test/resumed_stream_errors_test.cpp
+++ b/libs/gateway/test/resumed_stream_errors_test.cpp
@@ -100,11 +100,13 @@
     std::string fetch()
     {
         add_raw_server(first.endpoint());
-        const std::string former = "b-" + std::to_string(registrations_of_second);
+        const std::string former =
+            "b-" + std::to_string(registrations_of_second);
         register_server(
             former, second.endpoint(), 8, directory::server_state::gone);
-        register_server(
-            "b-" + std::to_string(++registrations_of_second), second.endpoint(), 8);
+        register_server("b-" + std::to_string(++registrations_of_second),
+                        second.endpoint(),
+                        8);
         return run().front();
     }
 
