Gateway: a stream of events without ids is not resumed

The project's own interface does not resume such a stream; the platform's did, as it looked at the last id only.

A stream that began with a comment still resumes.

--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -478,7 +478,7 @@
 
 bool request_handler::may_retry(attempt_result last)
 {
-    if (is_deadline_near())
+    if (is_deadline_near() || m_has_unnumbered_events)
     {
         return false;
     }
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -161,6 +161,8 @@
     /// as it does when it crashes.
     bool m_is_cut_off = false;
     bool m_stream_begun = false;
+    /// Whether the caller got events that another run would repeat.
+    bool m_has_unnumbered_events = false;
     /// Media type of the stream that has begun.
     std::string m_stream_type;
     /// Whether the server of the last attempt has shown that the request does
--- a/libs/gateway/src/request_handler_response.cpp
+++ b/libs/gateway/src/request_handler_response.cpp
@@ -288,6 +288,7 @@
             record_event();
             m_state.quarantine->on_answer(m_server_start_key);
             co_await begin_stream(answer->head());
+            m_has_unnumbered_events |= value_of(batch).has_unnumbered;
             co_await m_exchange.write(value_of(batch).bytes);
             m_last_event = std::max(m_last_event, value_of(batch).last_event);
         }
--- a/libs/gateway/test/resumed_stream_errors_test.cpp
+++ b/libs/gateway/test/resumed_stream_errors_test.cpp
@@ -28,8 +28,9 @@
 
 /// Content-Type of the stream that breaks off.
 const std::string stream_type = "text/event-stream";
+const std::string first_event = "id: 1\ndata: one\n\n";
 const std::string stream_part = "id: 1\ndata: one\n\nid: 2\nda";
-/// Texts that a careless reader takes for events.
+/// Bodies of errors, some of which look like events.
 const std::vector<std::string> error_texts = {
     "it failed",
     "it failed\n\n",
@@ -197,4 +198,38 @@
     }
 }
 
+// Guards against events of two runs that are joined: without ids, those that
+// the caller has cannot be told from the others.
+BOOST_AUTO_TEST_CASE(stream_of_events_without_ids_is_not_resumed)
+{
+    const std::string whole = "data: one\n\ndata: two\n\n";
+    for (const std::string& before : {std::string(), first_event})
+    {
+        first.set_answer(response_text(200,
+                                       stream_type,
+                                       body_delimiter::chunks,
+                                       before + "data: one\n\nda",
+                                       false),
+                         connection_end::closed);
+        check(response_text(
+            200, stream_type, body_delimiter::chunks, before + whole));
+        check(response_text(
+            200, stream_type, body_delimiter::chunks, "id: 2\ndata: two\n\n"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(stream_of_comments_is_resumed_from_its_start)
+{
+    first.set_answer(response_text(200,
+                                   stream_type,
+                                   body_delimiter::chunks,
+                                   ": wait\n\nid: 1\nda",
+                                   false),
+                     connection_end::closed);
+    second.set_answer(
+        response_text(200, stream_type, body_delimiter::chunks, first_event),
+        connection_end::closed);
+    BOOST_TEST(fetch() == "200 : wait\n\n" + first_event);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/http/include/limpet/http/event_splitter.hpp
+++ b/libs/http/include/limpet/http/event_splitter.hpp
@@ -24,6 +24,9 @@
     std::uint64_t events = 0;
     /// Whether the stream's closing event is in the batch.
     bool done = false;
+    /// Whether an event without an id is in the batch, other than the closing
+    /// one and comments. Another run of the stream would repeat it.
+    bool has_unnumbered = false;
 };
 
 /// Finds event boundaries, checks that numbered events follow each other, and
--- a/libs/http/src/event_splitter.cpp
+++ b/libs/http/src/event_splitter.cpp
@@ -137,10 +137,14 @@
         batch.last_event = m_last_event;
         ++batch.events;
     }
-    else if (m_is_rest && !fields.closing && !fields.is_comment)
+    else if (!fields.closing && !fields.is_comment)
     {
-        return error{error_code::malformed,
-                     "event without an id in the rest of a stream"};
+        if (m_is_rest)
+        {
+            return error{error_code::malformed,
+                         "event without an id in the rest of a stream"};
+        }
+        batch.has_unnumbered = true;
     }
     m_done |= fields.closing;
     batch.done |= fields.closing;
