Quarantine: a server's crash has the time of its first report

Cause: requests to a server that has ended may still be accepted, by a proxy in front of it, and then reset. Such a report counted at its own time, so a sound part could get three crashes at different moments from servers that had ended at the same moment, while the request that ended them had fewer than three. The sound part was quarantined, and most requests refused.

Change: a crash has the time of the first report of its server.

server_that_has_ended_does_not_crash_again fails before.

--- a/libs/quarantine/include/limpet/quarantine/crash_evidence.hpp
+++ b/libs/quarantine/include/limpet/quarantine/crash_evidence.hpp
@@ -142,7 +142,8 @@
     std::set<server_key>
     explained_servers(const part_predicate& is_known) const;
     /// Returns the crashes under requests with each part that nothing known
-    /// explains and no answer clears.
+    /// explains and no answer clears. A crash has the time of the first report
+    /// of its server, as requests may fail in the same way after it.
     crashes_by_part find_unexplained(const part_predicate& is_known,
                                      time_point now) const;
     std::size_t count_moments(part_key part, const crash_times& crashes) const;
--- a/libs/quarantine/src/crash_evidence.cpp
+++ b/libs/quarantine/src/crash_evidence.cpp
@@ -216,7 +216,8 @@
         {
             if (!is_cleared(part, each.at))
             {
-                unexplained[part].try_emplace(each.request.server, each.at);
+                const server_key server = each.request.server;
+                unexplained[part].try_emplace(server, m_servers.at(server));
             }
         }
     }
--- a/libs/quarantine/test/crash_evidence_test.cpp
+++ b/libs/quarantine/test/crash_evidence_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+
 using namespace limpet;
 using namespace limpet::quarantine;
 
@@ -53,4 +55,31 @@
     BOOST_TEST(evidence.report_count() == 1U);
 }
 
+// Guards against sound parts that are blamed for requests to servers that have
+// ended before, where something in front of the server accepts connections.
+BOOST_AUTO_TEST_CASE(server_that_has_ended_does_not_crash_again)
+{
+    constexpr std::array<milliseconds, 4> ends = {
+        milliseconds(0), milliseconds(0), milliseconds(13), milliseconds(191)};
+    const time_point begin{seconds(1000)};
+    const part_key crashing = make_request_key(1);
+    const part_key sound = make_shared_part_key(2);
+    crash_evidence evidence;
+    for (std::uint64_t i = 0; i < ends.size(); ++i)
+    {
+        evidence.add({server_key(i), {crashing}}, begin + ends.at(i));
+    }
+    // The connections were accepted and then reset.
+    for (std::uint64_t i = 0; i < ends.size(); ++i)
+    {
+        evidence.add({server_key(i), {sound}},
+                     begin + milliseconds(200 + 150 * i));
+    }
+    const auto is_known = [](part_key)
+    {
+        return false;
+    };
+    BOOST_TEST(evidence.find_responsible(is_known, begin + seconds(2)).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/crashing_request.py
+++ b/tests/soak/crashing_request.py
@@ -42,6 +42,7 @@
     "stream": ("model", "stream", 1, 8, False, 0.9),
     "two": ("desk", "repeat", 2, 8, False, 0.9),
     "rare": ("desk", "repeat", 1, 1, False, 0.9),
+    "at_once": ("model", "stream", 1, 200, False, 0.9),
     "amid_text": ("desk", "repeat", 1, 8, True, 0.9),
     "amid_stream": ("model", "stream", 1, 8, True, 0.9),
 }
