--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -85,9 +85,11 @@
     forward_buffered(std::unique_ptr<http::response_stream> answer);
     boost::asio::awaitable<attempt_result>
     forward_stream(std::unique_ptr<http::response_stream> answer);
+    /// Returns whether no stream has begun, or the response may go on with it.
+    /// An error with status 200 differs by its type.
+    bool may_continue_stream(const http::response_head& head) const;
     /// Sends the head of the response to the caller, if none was sent yet. From
     /// then on only servers of the same version may continue the stream.
-    bool may_continue_stream(const http::response_head& head) const;
     boost::asio::awaitable<void> begin_stream(const http::response_head& head);
     /// Cuts off a stream that cannot continue.
     void cut_off_stream();
--- a/libs/gateway/src/request_handler_response.cpp
+++ b/libs/gateway/src/request_handler_response.cpp
@@ -107,8 +107,6 @@
     co_return result;
 }
 
-/// Returns whether no stream has begun, or the response may go on with it. An
-/// error with status 200 differs by its type.
 bool request_handler::may_continue_stream(const http::response_head& head) const
 {
     return !m_stream_begun ||
