--- a/libs/gateway/test/resumed_stream_errors_test.cpp
+++ b/libs/gateway/test/resumed_stream_errors_test.cpp
@@ -198,8 +198,7 @@
     }
 }
 
-// Guards against events of two runs that are joined: without ids, those that
-// the caller has cannot be told from the others.
+// Guards against events of two runs that are joined for want of ids.
 BOOST_AUTO_TEST_CASE(stream_of_events_without_ids_is_not_resumed)
 {
     const std::string whole = "data: one\n\ndata: two\n\n";
--- a/libs/quarantine/test/crash_evidence_test.cpp
+++ b/libs/quarantine/test/crash_evidence_test.cpp
@@ -55,8 +55,7 @@
     BOOST_TEST(evidence.report_count() == 1U);
 }
 
-// Guards against sound parts that are blamed for requests to servers that have
-// ended before, where something in front of the server accepts connections.
+// Guards against sound parts blamed for requests to servers that have ended.
 BOOST_AUTO_TEST_CASE(server_that_has_ended_does_not_crash_again)
 {
     constexpr std::array<milliseconds, 4> ends = {
