--- a/libs/control/test/directory_feed_test.cpp
+++ b/libs/control/test/directory_feed_test.cpp
@@ -661,8 +661,7 @@
     BOOST_TEST(times_sent(routers.front(), "leaving") == 1U);
 }
 
-// Guards against the news that a server leaves waiting at the replica it
-// reported to, behind changes of other servers.
+// Guards against news of leaving servers that waits behind other changes.
 BOOST_FIXTURE_TEST_CASE(
     server_that_leaves_is_sent_to_replicas_before_a_flood_of_changes,
     shared_routers_fixture)
--- a/libs/gateway/test/directory_client_test.cpp
+++ b/libs/gateway/test/directory_client_test.cpp
@@ -620,8 +620,7 @@
     BOOST_TEST(applied[1].document == "[{2}]");
 }
 
-// Guards against orders that were acknowledged as replaced while the router
-// that passes them on stood still.
+// Guards against orders in force that were replaced while on their way.
 BOOST_FIXTURE_TEST_CASE(first_orders_of_another_router_wait_for_a_confirmation,
                         client_replica_and_router)
 {
--- a/libs/gateway/test/resumed_stream_errors_test.cpp
+++ b/libs/gateway/test/resumed_stream_errors_test.cpp
@@ -163,8 +163,7 @@
     }
 }
 
-// Guards against a stream that ends as complete where another type of answer
-// without a body follows.
+// Guards against a stream that an empty answer of another type completes.
 BOOST_AUTO_TEST_CASE(stream_is_not_completed_by_an_empty_answer_of_another_type)
 {
     break_off(body_delimiter::chunks, connection_end::closed);
@@ -231,8 +230,7 @@
     BOOST_TEST(fetch() == "200 : wait\n\n" + first_event);
 }
 
-// Guards against an answer that is joined from two, on routes that do not
-// resume.
+// Guards against answers joined from two on routes that do not resume.
 BOOST_AUTO_TEST_CASE(answer_that_breaks_off_is_not_joined_with_the_next)
 {
     using directory::request_kind;
