Streams: a stream that broke off after its first event goes on after it

It is asked for what comes after event 1 now. An empty rest there is not taken for the end, as before this change.

--- a/libs/gateway/include/limpet/gateway/protocol.hpp
+++ b/libs/gateway/include/limpet/gateway/protocol.hpp
@@ -61,8 +61,8 @@
     engine_id server;
     std::string tenant;
     duration time_left{};
-    /// Number of the event after which the server begins, 0 for the start of
-    /// the stream. Nothing if that is left to what the caller sent.
+    /// Number of the event after which the server begins. Nothing if that is
+    /// left to what the caller sent.
     std::optional<std::uint64_t> resume_after;
     /// Server from whose prefix cache the prompt's common parts may be copied.
     std::optional<boost::asio::ip::tcp::endpoint> copy_from;
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -300,11 +300,13 @@
 
 std::optional<std::uint64_t> request_handler::resume_after() const
 {
-    if (m_route->kind != directory::request_kind::resumable_stream)
+    if (m_route->kind != directory::request_kind::resumable_stream ||
+        m_last_event == 0)
     {
         return std::nullopt;
     }
-    return m_last_event == 0 ? 0 : m_last_event - 1;
+    // Without a number to begin after, a server would begin another stream.
+    return std::max<std::uint64_t>(1, m_last_event - 1);
 }
 
 void request_handler::record_origin()
