--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -35,6 +35,9 @@
         self.failing = 0.0
         self.shedding = 0.0
         self.limit = None  # text of the limit that its answers name
+        self.brittle = None  # how many it turns away in a second and stands
+        self.room = None  # requests at once beyond which it turns away
+        self.turned_away = []  # when
         self.arrivals = []  # (when, router) of each request
         self.active = 0
         self.requests = set()  # those that it runs
@@ -120,6 +123,9 @@
         if self.random.random() < self.shedding:
             await self._send(writer, 503, peer.not_run_headers(request), b"")
             return
+        if self.room is not None and self.active >= self.room:
+            await self._turn_away(writer, request)
+            return
         self._check_drain(request)
         self.arrivals.append(
             (self.world.record.now(),
@@ -128,7 +134,8 @@
                               body)
         sent = self.world.record.sent.get(request, {})
         seal = f"{self.name}.{request}.{self.random.randrange(1 << 30)}"
-        answer = peer.answer_headers(request, seal, self.active, self.limit)
+        answer = peer.answer_headers(request, seal, self.active, self.limit,
+                                     self.brittle)
         self.active += 1
         self.requests.add(request)
         try:
@@ -148,6 +155,18 @@
             self.active -= 1
             self.requests.discard(request)
 
+    async def _turn_away(self, writer, request):
+        """Falls over after too many in a second, if it is brittle."""
+        now = self.world.record.now()
+        self.turned_away = [each for each in self.turned_away
+                            if each > now - 1.0] + [now]
+        await self._send(writer, 503,
+                         peer.not_run_headers(request, self.brittle), b"")
+        if self.brittle is not None and \
+                len(self.turned_away) > self.brittle:
+            await self.world.fall_over(self)
+            raise transport.Broken("fell over")
+
     def _seal(self, seal, request, status, body):
         self.world.record.seals[seal] = {
             "request": request, "status": status, "body": body}
