Answers without a length: the check of the server ends with the request's time

The time left bounded only how long a connection had to last; three connects that are not answered took 0.75 s more, also past the deadline.

--- a/libs/gateway/test/unconfirmed_ends_test.cpp
+++ b/libs/gateway/test/unconfirmed_ends_test.cpp
@@ -188,6 +188,22 @@
     BOOST_TEST(!results.front().starts_with("200"));
 }
 
+BOOST_AUTO_TEST_CASE(check_of_a_server_ends_with_the_time_of_the_request)
+{
+    http::client_limits limits;
+    limits.server_end_time = seconds(30);
+    state.client = http::client::create(limits);
+    set_route(request_kind::single);
+    directory::plan plan = state.plan->document();
+    plan.routes.front().timeout = milliseconds(300);
+    state.plan =
+        std::make_shared<const directory::route_table>(std::move(plan));
+    add_first_server(unframed("text"), connection_end::closed);
+    const time_point begun = monotonic_clock::now();
+    run();
+    BOOST_TEST((monotonic_clock::now() < begun + limits.server_end_time / 2));
+}
+
 BOOST_AUTO_TEST_CASE(plain_answer_of_killed_server_without_length_has_failed)
 {
     set_route(request_kind::single);
--- a/libs/http/src/server_check.cpp
+++ b/libs/http/src/server_check.cpp
@@ -25,8 +25,8 @@
                            duration time_left)
     : m_server(server),
       m_connect_timeout(limits.connect_timeout),
-      m_end_time(std::min(limits.server_end_time,
-                          std::max(time_left, duration::zero())))
+      m_end_time(limits.server_end_time),
+      m_until(monotonic_clock::now() + time_left)
 {
 }
 
@@ -37,6 +37,10 @@
     constexpr int max_connects = 3;
     for (int i = 0; i < max_connects && !m_is_cancelled; ++i)
     {
+        if (monotonic_clock::now() >= m_until)
+        {
+            break;
+        }
         boost::asio::ip::tcp::socket socket(
             co_await boost::asio::this_coro::executor);
         m_socket = &socket;
@@ -69,7 +73,8 @@
 {
     const auto limit = std::make_shared<deadline>(
         co_await boost::asio::this_coro::executor, *m_socket);
-    limit->expires_after(m_connect_timeout);
+    limit->expires_after(
+        std::min(m_connect_timeout, m_until - monotonic_clock::now()));
     const auto [failure] =
         co_await m_socket->async_connect(m_server, as_result);
     const bool is_late = limit->passed();
@@ -88,8 +93,8 @@
 
 boost::asio::awaitable<bool> server_check::lasts()
 {
-    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
-                                    m_end_time);
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    timer.expires_after(std::min(m_end_time, m_until - monotonic_clock::now()));
     m_timer = &timer;
     co_await timer.async_wait(as_result);
     m_timer = nullptr;
--- a/libs/http/src/server_check.hpp
+++ b/libs/http/src/server_check.hpp
@@ -29,7 +29,7 @@
 class server_check
 {
 public:
-    /// A connection has to last for the time left at most.
+    /// Ends when the time left has passed.
     server_check(const boost::asio::ip::tcp::endpoint& server,
                  const client_limits& limits,
                  duration time_left);
@@ -46,6 +46,7 @@
     boost::asio::ip::tcp::endpoint m_server;
     duration m_connect_timeout;
     duration m_end_time;
+    time_point m_until;
     boost::asio::ip::tcp::socket* m_socket = nullptr;
     boost::asio::steady_timer* m_timer = nullptr;
     bool m_is_cancelled = false;
