--- a/libs/http/include/limpet/http/client.hpp
+++ b/libs/http/include/limpet/http/client.hpp
@@ -83,8 +83,8 @@
 
     /// Returns the next part of the body, nothing at its regular end, or an
     /// error if it was cut off or took too long. Where the connection delimits
-    /// the body, its end is regular only if the server accepts another
-    /// connection afterwards.
+    /// the body, its end is regular only if another connection to the
+    /// server lasts afterwards.
     virtual boost::asio::awaitable<outcome<std::optional<std::string>>>
     read_some() = 0;
 
