Directory client: a replica that has not sent its registrations knows no history

The routers lose power while servers of a new version replace the others, and the replicas live on.

Cause: a router is certain of a stream's version if a replica has known all registrations for long enough and all servers have one version. Until a replica had sent its history, the time since when it knows all registrations was the beginning of the clock, so right after its start each router believed that the part of the list that it had was whole. The class of fault: the absence of something, taken for knowledge. Small deployments send the whole list in the first frame, which hid it.

A history counts once a replica has told it, which it does when all registrations have been sent. The test fails without the change.

--- a/libs/gateway/src/directory_client.cpp
+++ b/libs/gateway/src/directory_client.cpp
@@ -222,7 +222,8 @@
     std::optional<time_point> earliest;
     for (const auto& [vm, each] : m_replicas)
     {
-        if (each.is_live && (!earliest || each.history_begins_at < *earliest))
+        if (each.is_live && each.history_begins_at &&
+            (!earliest || *each.history_begins_at < *earliest))
         {
             earliest = each.history_begins_at;
         }
--- a/libs/gateway/test/directory_client_test.cpp
+++ b/libs/gateway/test/directory_client_test.cpp
@@ -468,6 +468,23 @@
     BOOST_TEST(!client->history_begins_at().has_value());
 }
 
+// Guards against streams that go on at another version after a restart.
+BOOST_FIXTURE_TEST_CASE(
+    history_is_unknown_until_a_replica_has_sent_all_registrations,
+    client_and_replica)
+{
+    directory::update part;
+    part.routers = 1;
+    send_update(part);
+    run_until(
+        [this]
+        {
+            return router_count == 1;
+        });
+    BOOST_TEST(client->is_in_touch());
+    BOOST_TEST(!client->history_begins_at().has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(frame_of_another_router_is_passed_on,
                         client_and_replica)
 {
