Origins: log how the version of a resumed stream was decided

Whether a router was certain of a service's only version, knew the stream or had an answer from another process could not be told from the log.

--- a/libs/gateway/src/origin_service.cpp
+++ b/libs/gateway/src/origin_service.cpp
@@ -93,6 +93,17 @@
             {{"peer", from.get()}, {"reason", error_of(received).message}});
         return;
     }
+    for (const origins::origin& each : value_of(received).origins)
+    {
+        if (m_exchange.is_awaiting(each.stream))
+        {
+            log_event(log_level::info,
+                      "origin.answered",
+                      {{"stream", each.stream.get()},
+                       {"version", each.version.get()},
+                       {"by", from.get()}});
+        }
+    }
     send(m_exchange.receive(from, value_of(received), monotonic_clock::now()));
     wake_waiters();
 }
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -268,12 +268,9 @@
     const auto service = origins::make_service_key(m_query.service);
     const duration max_age = max_stream_age(*m_route);
     m_query.version = m_state.origins->only_version(service, max_age);
-    if (m_query.version)
-    {
-        co_return std::nullopt;
-    }
+    const bool is_certain = m_query.version.has_value();
     std::optional<origins::origin> begun;
-    if (!m_call.resumes.get().empty())
+    if (!is_certain && !m_call.resumes.get().empty())
     {
         const origins::query asked{
             origins::make_stream_key(m_stream), service, max_age};
@@ -283,8 +280,14 @@
               "origin.sought",
               {{"request", m_call.id.get()},
                {"resumes", m_call.resumes.get()},
+               {"stream", origins::make_stream_key(m_stream).get()},
                {"service", m_query.service},
+               {"certain", is_certain},
                {"found", begun.has_value()}});
+    if (is_certain)
+    {
+        co_return std::nullopt;
+    }
     if (!begun)
     {
         co_return refusal_cause::unknown_start;
