Answers without a length: an end that resets follow is reported to the quarantine

Callers were refused for 30 s ("503 quarantined"), as a part that all prompts share was blamed for servers that one request crashed amid its answer.

A connection that ends early after the answer is now reported like one that is reset during it; the reports of a server that lives are discarded with its next answer, as those always were. Connections that time out are still not reported.

--- a/libs/gateway/test/unconfirmed_ends_test.cpp
+++ b/libs/gateway/test/unconfirmed_ends_test.cpp
@@ -160,6 +160,28 @@
     }
 }
 
+// Guards against a common prompt part that is blamed for the crashes of a
+// request.
+BOOST_AUTO_TEST_CASE(
+    cut_off_answer_of_server_that_resets_all_connections_is_reported)
+{
+    constexpr int all = 100;
+    std::size_t reported = 0;
+    on_frame = [&reported](const vm_id& /*router*/, const std::string& payload)
+    {
+        const auto sent = quarantine::decode(payload);
+        BOOST_REQUIRE(is_ok(sent));
+        reported += value_of(sent).cut_off.size();
+    };
+    state.quarantine->set_routers({vm_id("other")});
+    set_route(request_kind::stream);
+    add_first_server(unframed(events_up_to(1)), connection_end::closed);
+    raw_servers.back()->reset_further_connections(all);
+    BOOST_TEST(run().front() == "cut");
+    context.poll();
+    BOOST_TEST(reported == 1);
+}
+
 BOOST_AUTO_TEST_CASE(shutdown_ends_the_check_of_a_server)
 {
     http::client_limits limits;
--- a/libs/http/src/received_response.cpp
+++ b/libs/http/src/received_response.cpp
@@ -294,6 +294,9 @@
     case server_state::gone:
         co_return error{error_code::io_error,
                         "the server ended before or with its answer"};
+    case server_state::closing:
+        co_return error{error_code::io_error,
+                        "the server ends connections after its answer"};
     case server_state::unknown:
         break;
     }
--- a/libs/http/src/server_check.cpp
+++ b/libs/http/src/server_check.cpp
@@ -35,6 +35,7 @@
     // One may be lost, since a packet is sent again only after the connect
     // timeout, and one may be reset.
     constexpr int max_connects = 3;
+    server_state result = server_state::unknown;
     for (int i = 0; i < max_connects && !m_is_cancelled; ++i)
     {
         if (monotonic_clock::now() >= m_until)
@@ -51,8 +52,10 @@
         {
             co_return state;
         }
+        result = state == server_state::alive ? server_state::closing
+                                              : server_state::unknown;
     }
-    co_return server_state::unknown;
+    co_return result;
 }
 
 void server_check::cancel()
@@ -93,10 +96,18 @@
 
 boost::asio::awaitable<bool> server_check::lasts()
 {
-    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
-    timer.expires_after(std::min(m_end_time, m_until - monotonic_clock::now()));
-    m_timer = &timer;
-    co_await timer.async_wait(as_result);
+    // The handler of the socket may outlive this function.
+    const auto timer = std::make_shared<boost::asio::steady_timer>(
+        co_await boost::asio::this_coro::executor);
+    timer->expires_after(
+        std::min(m_end_time, m_until - monotonic_clock::now()));
+    m_socket->async_wait(boost::asio::ip::tcp::socket::wait_read,
+                         [timer](const boost::system::error_code& /*failure*/)
+                         {
+                             timer->cancel();
+                         });
+    m_timer = timer.get();
+    co_await timer->async_wait(as_result);
     m_timer = nullptr;
     co_return !m_is_cancelled && peek(*m_socket) == peek_result::nothing;
 }
--- a/libs/http/src/server_check.hpp
+++ b/libs/http/src/server_check.hpp
@@ -18,14 +18,16 @@
 {
     alive,   ///< A connection to it lasts.
     gone,    ///< Nothing listens at its address.
-    unknown, ///< Connections time out or end early.
+    closing, ///< Connections to it end early.
+    unknown, ///< Connections time out.
 };
 
 /// Connects to a server and sends nothing. A process that ends closes its
 /// listening socket last, which resets the connections that wait there to be
 /// accepted, so a connection must last. Only a refused one shows that the
 /// server is gone: a server at its limit resets new connections, and so does a
-/// proxy before one that is gone. Used on one executor.
+/// proxy before one that is gone, which is as if the server had reset the
+/// connection of its answer. Used on one executor.
 class server_check
 {
 public:
@@ -41,6 +43,7 @@
 
 private:
     boost::asio::awaitable<server_state> connect();
+    /// Waits until the connection ends, or for as long as it has to last.
     boost::asio::awaitable<bool> lasts();
 
     boost::asio::ip::tcp::endpoint m_server;
