Directory client: a replica that owes registrations knows no history any more

A router could be certain of a service's only version with a list of some seconds ago.

Each frame about registrations sets or withdraws the history now, and a replica that is in touch again has none until it tells it. The test fails without it.

--- a/libs/gateway/src/directory_client.cpp
+++ b/libs/gateway/src/directory_client.cpp
@@ -415,6 +415,7 @@
     if (!known.is_live)
     {
         known.is_live = true;
+        known.history_begins_at.reset();
         log_event(log_level::info,
                   "replica.in_touch",
                   {{"replica", sender.vm.get()},
@@ -466,10 +467,11 @@
     }
     merge_registrations(from, update);
     replica& known = m_replicas[from];
-    if (update.history > duration::zero())
-    {
-        known.history_begins_at = known.heard_at - update.history;
-    }
+    // A replica that owes registrations, as after a cut, leaves it out.
+    known.history_begins_at =
+        update.history > duration::zero()
+            ? std::optional(known.heard_at - update.history)
+            : std::nullopt;
     if (!update.replicas.empty())
     {
         known.members = update.replicas;
--- a/libs/gateway/src/directory_client.hpp
+++ b/libs/gateway/src/directory_client.hpp
@@ -119,8 +119,8 @@
         data_centre_id data_centre;
         time_point heard_at{};
         bool is_live = false;
-        /// Since when it knows all registrations; nothing until it has sent
-        /// them.
+        /// Since when it knows all registrations; nothing while it has not sent
+        /// all of them.
         std::optional<time_point> history_begins_at;
         /// When this gateway sent the newest subscription that it answered, the
         /// log index of the orders that it had then, and whether no entry of
--- a/libs/gateway/test/directory_client_test.cpp
+++ b/libs/gateway/test/directory_client_test.cpp
@@ -485,6 +485,30 @@
     BOOST_TEST(!client->history_begins_at().has_value());
 }
 
+// Guards against streams that go on at another version after a cut.
+BOOST_FIXTURE_TEST_CASE(
+    history_is_unknown_while_a_replica_owes_registrations_again,
+    client_and_replica)
+{
+    directory::update update;
+    update.history = seconds(30);
+    send_update(update);
+    run_until(
+        [this]
+        {
+            return client->history_begins_at().has_value();
+        });
+    update.history = duration::zero();
+    update.routers = 1;
+    send_update(update);
+    run_until(
+        [this]
+        {
+            return router_count == 1;
+        });
+    BOOST_TEST(!client->history_begins_at().has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(frame_of_another_router_is_passed_on,
                         client_and_replica)
 {
