Server pool: a version that is not recorded is not a service's only one

A router whose part of the list held only servers of a newer version, not recorded yet, was certain of that one. The only version must be recorded, if any of the service is. The test fails without it.

--- a/libs/gateway/src/server_pool.cpp
+++ b/libs/gateway/src/server_pool.cpp
@@ -308,8 +308,10 @@
         }
     }
     versions.merge(m_recorded_versions.recorded_since(service, since));
-    return versions.size() == 1 ? std::optional(*versions.begin())
-                                : std::nullopt;
+    return versions.size() == 1 &&
+                   m_recorded_versions.is_possible(service, *versions.begin())
+               ? std::optional(*versions.begin())
+               : std::nullopt;
 }
 
 void server_pool::set_recorded_versions(const origins::version_sets& recorded,
--- a/libs/gateway/test/server_pool_test.cpp
+++ b/libs/gateway/test/server_pool_test.cpp
@@ -505,6 +505,15 @@
     BOOST_TEST(begins_at_new(start_time + seconds(3)));
 }
 
+BOOST_AUTO_TEST_CASE(version_that_is_not_recorded_is_not_the_only_one)
+{
+    const auto service = origins::make_service_key("s");
+    pool.set_recorded_versions(
+        {{service, {origins::make_version_key("s", "v0")}}}, start_time);
+    BOOST_TEST(
+        !pool.only_version(service, start_time + seconds(1)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(service_has_no_only_version_after_another_was_recorded)
 {
     const auto service = origins::make_service_key("s");
--- a/libs/origins/include/limpet/origins/version_records.hpp
+++ b/libs/origins/include/limpet/origins/version_records.hpp
@@ -40,6 +40,9 @@
                    time_point known_since,
                    time_point now) const;
 
+    /// Returns whether the version is recorded, or none of the service is.
+    bool is_possible(service_key service, version_key version) const;
+
     /// Returns the versions of the service that were recorded since then.
     std::set<version_key> recorded_since(service_key service,
                                          time_point since) const;
--- a/libs/origins/src/version_records.cpp
+++ b/libs/origins/src/version_records.cpp
@@ -39,6 +39,14 @@
     return known_since + unrecorded_time <= now;
 }
 
+bool version_records::is_possible(service_key service,
+                                  version_key version) const
+{
+    const auto versions = m_recorded_at.find(service);
+    return versions == m_recorded_at.end() ||
+           versions->second.contains(version);
+}
+
 std::set<version_key> version_records::recorded_since(service_key service,
                                                       time_point since) const
 {
