Streams: what was recorded goes before what a router concludes

A record is made when the stream begins, a conclusion may be wrong. The test fails without the change.

--- a/libs/gateway/src/origin_service.cpp
+++ b/libs/gateway/src/origin_service.cpp
@@ -36,6 +36,12 @@
     return m_callbacks.only_version(service, max_age);
 }
 
+std::optional<origins::origin>
+origin_service::known(origins::stream_key stream) const
+{
+    return m_exchange.find(stream, monotonic_clock::now());
+}
+
 void origin_service::record(const origins::origin& begun)
 {
     send(m_exchange.record(begun, monotonic_clock::now()));
@@ -44,10 +50,9 @@
 net::awaitable<std::optional<origins::origin>>
 origin_service::find(origins::query asked)
 {
-    if (const auto known =
-            m_exchange.find(asked.stream, monotonic_clock::now()))
+    if (const auto begun = known(asked.stream))
     {
-        co_return known;
+        co_return begun;
     }
     send(m_exchange.ask(asked));
     if (!is_decided(asked.stream))
--- a/libs/gateway/src/origin_service.hpp
+++ b/libs/gateway/src/origin_service.hpp
@@ -43,6 +43,9 @@
     std::optional<origins::version_key>
     only_version(origins::service_key service, duration max_age) const;
 
+    /// Returns what began the stream, if this router knows it.
+    std::optional<origins::origin> known(origins::stream_key stream) const;
+
     /// Records what began a stream of this router.
     void record(const origins::origin& begun);
 
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -267,20 +267,29 @@
 {
     const auto service = origins::make_service_key(m_query.service);
     const duration max_age = max_stream_age(*m_route);
-    m_query.version = m_state.origins->only_version(service, max_age);
-    const bool is_certain = m_query.version.has_value();
+    const auto stream = origins::make_stream_key(m_stream);
+    const bool is_named = !m_call.resumes.get().empty();
+    // What was recorded when the stream began goes before what is concluded.
     std::optional<origins::origin> begun;
-    if (!is_certain && !m_call.resumes.get().empty())
+    if (is_named)
+    {
+        begun = m_state.origins->known(stream);
+    }
+    if (!begun)
+    {
+        m_query.version = m_state.origins->only_version(service, max_age);
+    }
+    const bool is_certain = m_query.version.has_value();
+    if (is_named && !begun && !is_certain)
     {
-        const origins::query asked{
-            origins::make_stream_key(m_stream), service, max_age};
+        const origins::query asked{stream, service, max_age};
         begun = co_await m_state.origins->find(asked);
     }
     log_event(log_level::info,
               "origin.sought",
               {{"request", m_call.id.get()},
                {"resumes", m_call.resumes.get()},
-               {"stream", origins::make_stream_key(m_stream).get()},
+               {"stream", stream.get()},
                {"service", m_query.service},
                {"certain", is_certain},
                {"found", begun.has_value()}});
--- a/libs/gateway/test/resumed_streams_test.cpp
+++ b/libs/gateway/test/resumed_streams_test.cpp
@@ -137,6 +137,20 @@
     BOOST_TEST(request_counts[1] == 0);
 }
 
+BOOST_AUTO_TEST_CASE(
+    stream_whose_version_another_router_named_does_not_continue_at_the_only_one)
+{
+    add_server(with_events(4, true), slots, "v2");
+    origins::message named;
+    named.origins.push_back({origins::make_stream_key(request_id("begun")),
+                             origins::make_service_key("s"),
+                             origins::make_version_key("s", "v1"),
+                             seconds(10)});
+    state.origins->receive(vm_id("other"), encode(named));
+    BOOST_TEST(resume("begun", 2).substr(0, 3) == "503");
+    BOOST_TEST(request_counts[0] == 0);
+}
+
 BOOST_AUTO_TEST_CASE(stream_of_unknown_start_continues_at_the_only_version)
 {
     add_server(with_events(4, true), slots, "v1");
