Gateway: a router that reaches no server hands requests over to others

The balancer keeps callers at their router, so that coming back did not help.

Cause: each router served by its own view of the servers alone; a failure of its own links was answered as if it were everybody's.

A service of which four servers in a row do not respond counts as cut off. Its requests go to a router that reaches them, in the messages of an exchange, and are run there by the same request_handler, on a link_exchange in the place of the caller's connection.

--- a/libs/gateway/src/directory_client.cpp
+++ b/libs/gateway/src/directory_client.cpp
@@ -71,6 +71,10 @@
         {
             self->m_callbacks.on_quarantine_frame(from.vm, payload);
         }
+        else if (kind == wire::channel::exchange)
+        {
+            self->m_callbacks.on_exchange_frame(from.vm, payload);
+        }
     };
     handlers.on_lost = [self](const vm_id& peer)
     {
@@ -153,15 +157,16 @@
     subscribe(vm);
 }
 
-void directory_client::send_to_router(const vm_id& router,
-                                      wire::channel kind,
-                                      std::string payload)
+status directory_client::send_to_router(const vm_id& router,
+                                        wire::channel kind,
+                                        std::string payload)
 {
     if (!set_peer_address(router))
     {
-        return;
+        return error{error_code::unavailable,
+                     "the router's name is no address"};
     }
-    const status sent = m_hub->send(router, kind, std::move(payload));
+    status sent = m_hub->send(router, kind, std::move(payload));
     if (!is_ok(sent))
     {
         log_event(log_level::warn,
@@ -171,6 +176,7 @@
                    {"reason", error_of(sent).message}});
         m_callbacks.on_router_lost(router);
     }
+    return sent;
 }
 
 std::set<vm_id> directory_client::members() const
--- a/libs/gateway/src/directory_client.hpp
+++ b/libs/gateway/src/directory_client.hpp
@@ -52,6 +52,7 @@
     /// link to one.
     std::function<void(const vm_id&, const std::string&)> on_router_frame;
     std::function<void(const vm_id&, const std::string&)> on_quarantine_frame;
+    std::function<void(const vm_id&, const std::string&)> on_exchange_frame;
     std::function<void(const vm_id&)> on_router_lost;
     /// Called after each check of which replicas are live, and when one has
     /// become so, with all that are known and those that are live.
@@ -108,10 +109,11 @@
     /// is_in_touch(), holds right after the process was suspended.
     bool has_orders_until(time_point since) const;
 
-    /// Sends a frame to another router.
-    void send_to_router(const vm_id& router,
-                        wire::channel kind,
-                        std::string payload);
+    /// Sends a frame to another router. Errors: unavailable, overloaded; they
+    /// count as the loss of the link to it.
+    status send_to_router(const vm_id& router,
+                          wire::channel kind,
+                          std::string payload);
 
 private:
     struct replica
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -75,6 +75,7 @@
           m_drain_timer(context),
           m_end_timer(context)
     {
+        m_state.handover = make_handover();
     }
 
     status start()
@@ -204,6 +205,27 @@
             m_settings.vm, m_settings.data_centre, std::move(callbacks));
     }
 
+    std::unique_ptr<handover_service> make_handover()
+    {
+        handover_callbacks callbacks;
+        callbacks.send = [this](const vm_id& router, std::string payload)
+        {
+            return m_directory_client->send_to_router(
+                router, wire::channel::exchange, std::move(payload));
+        };
+        callbacks.serve = [this](http::exchange& caller,
+                                 duration time_left) -> net::awaitable<bool>
+        {
+            request_handler request(m_state, caller, time_left);
+            co_await request.run();
+            co_return !request.is_unserved();
+        };
+        return std::make_unique<handover_service>(m_context,
+                                                  m_settings.vm,
+                                                  m_settings.data_centre,
+                                                  std::move(callbacks));
+    }
+
     std::unique_ptr<quarantine_service> make_quarantine()
     {
         return std::make_unique<quarantine_service>(
@@ -236,6 +258,9 @@
         callbacks.on_router_map = [this](const origins::router_map& routers)
         {
             m_state.origins->set_routers(routers);
+            origins::router_map others = routers;
+            others.erase(m_settings.vm);
+            m_state.handover->set_routers(std::move(others));
             std::set<vm_id> names;
             for (const auto& [vm, data_centre] : routers)
             {
@@ -249,6 +274,11 @@
         {
             m_state.quarantine->receive(from, payload);
         };
+        callbacks.on_exchange_frame =
+            [this](const vm_id& from, const std::string& payload)
+        {
+            m_state.handover->receive(from, payload);
+        };
         callbacks.on_router_frame =
             [this](const vm_id& from, const std::string& payload)
         {
@@ -258,6 +288,7 @@
         {
             m_state.origins->on_lost(router);
             m_state.quarantine->on_lost(router);
+            m_state.handover->on_lost(router);
         };
         callbacks.on_replicas_checked =
             [this](const std::set<vm_id>& known, const std::set<vm_id>& live)
@@ -426,6 +457,10 @@
             << m_state.pool.leaving_servers()
             << "\nlimpet_gateway_closed_servers "
             << m_state.pool.closed_servers(monotonic_clock::now())
+            << "\nlimpet_gateway_handed_over_requests "
+            << m_state.handover->sent_count()
+            << "\nlimpet_gateway_requests_for_others "
+            << m_state.handover->served_count()
             << "\nlimpet_gateway_quarantined_parts "
             << m_state.quarantine->size()
             << "\nlimpet_gateway_replicas_in_touch "
@@ -475,7 +510,8 @@
 
     void poll_until_drained()
     {
-        if (m_caller_server->connection_count() == 0)
+        if (m_caller_server->connection_count() == 0 &&
+            m_state.handover->served_count() == 0)
         {
             m_on_drained();
             return;
--- a/libs/gateway/src/gateway_state.hpp
+++ b/libs/gateway/src/gateway_state.hpp
@@ -4,8 +4,10 @@
 #pragma once
 
 #include "gateway_metrics.hpp"
+#include "handover_service.hpp"
 #include "origin_service.hpp"
 #include "quarantine_service.hpp"
+#include "reach_tracker.hpp"
 #include "response_buffer.hpp"
 #include "wait_queue.hpp"
 
@@ -60,6 +62,10 @@
     std::optional<time_point> drain_ends_at = {};
     /// The requests in progress.
     std::set<request_handler*> requests = {};
+    /// Which services' servers this router reaches.
+    reach_tracker reach = {};
+    /// Null in a gateway without other routers.
+    std::unique_ptr<handover_service> handover = {};
 
     admission::retry_budget& retry_budget_for(const std::string& service);
 
--- /dev/null
+++ b/libs/gateway/src/link_exchange.hpp
@@ -0,0 +1,76 @@
+/// \file
+/// A request of another router's caller, whose response goes over the link.
+
+#pragma once
+
+#include <limpet/http/server.hpp>
+#include <limpet/pipeline/exchange_message.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace limpet::gateway
+{
+
+/// Bytes of a response that may be on their way to the router that handed the
+/// request over, before it confirms that its caller took some.
+inline constexpr std::int64_t handover_credit_bytes = 256 * 1024;
+
+/// Used on one thread.
+class link_exchange final : public http::exchange
+{
+public:
+    /// Sends a message to the router that handed the request over.
+    using send_function = std::function<void(pipeline::exchange_content)>;
+
+    link_exchange(const boost::asio::any_io_executor& executor,
+                  http::request received,
+                  send_function send);
+
+    const http::request& received() const override
+    {
+        return m_received;
+    }
+
+    /// Keeps the response until finish() is called.
+    boost::asio::awaitable<status> respond(http::response answer) override;
+    boost::asio::awaitable<status>
+    begin_stream(http::response_head head) override;
+    boost::asio::awaitable<status> write(std::string_view bytes) override;
+    boost::asio::awaitable<status> end_stream() override;
+    void cut_off() override;
+    void on_caller_gone(std::function<void()> call) override;
+
+    /// Allows to send more bytes.
+    void add_credit(std::uint32_t bytes);
+
+    /// Handles the end of the request at the other router, or the loss of the
+    /// link to it.
+    void cancel();
+
+    /// Sends the rest of the response and its end.
+    boost::asio::awaitable<void> finish();
+
+    /// Sends the end of a request that has not run and will not run.
+    void finish_not_run(error reason);
+
+private:
+    void send_finish(pipeline::finish_result result, error reason);
+
+    http::request m_received;
+    send_function m_send;
+    boost::asio::steady_timer m_credit_signal;
+    std::int64_t m_credit = handover_credit_bytes;
+    std::uint32_t m_sequence = 0;
+    std::optional<http::response> m_whole;
+    pipeline::finish_result m_result = pipeline::finish_result::broken;
+    std::function<void()> m_on_caller_gone;
+    bool m_is_cancelled = false;
+};
+
+} // namespace limpet::gateway
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -97,6 +97,14 @@
     m_state.requests.insert(this);
 }
 
+request_handler::request_handler(gateway_state& state,
+                                 http::exchange& caller,
+                                 duration time_left)
+    : request_handler(state, caller)
+{
+    m_handed_over_until = m_arrived_at + time_left;
+}
+
 request_handler::~request_handler()
 {
     m_state.requests.erase(this);
@@ -116,6 +124,10 @@
     {
         m_sleep->cancel();
     }
+    if (m_sent_handover != nullptr)
+    {
+        m_sent_handover->cancel();
+    }
 }
 
 net::awaitable<void> request_handler::run()
@@ -141,7 +153,7 @@
         log_end("caller_gone");
         co_return;
     }
-    const refusal_cause cause = co_await run_attempts();
+    const refusal_cause cause = co_await serve();
     if (m_status == 0 && !m_caller_gone && m_server_failure)
     {
         m_status = m_server_failure->head.status;
@@ -219,6 +231,10 @@
     const duration timeout =
         std::min(m_call.patience.value_or(m_route->timeout), m_route->timeout);
     m_deadline = m_arrived_at + timeout;
+    if (m_handed_over_until)
+    {
+        m_deadline = std::min(m_deadline, *m_handed_over_until);
+    }
     if (m_state.drain_ends_at)
     {
         if (!can_end_before_shutdown())
@@ -344,6 +360,10 @@
             {
                 m_open_response->cancel();
             }
+            if (m_sent_handover != nullptr)
+            {
+                m_sent_handover->cancel();
+            }
         });
 }
 
@@ -357,6 +377,13 @@
     return m_deadline - monotonic_clock::now();
 }
 
+duration request_handler::time_for_response() const
+{
+    const duration left = time_left() - response_margin;
+    // The rest is for another router.
+    return m_is_trial && may_hand_over() ? left / 2 : left;
+}
+
 net::awaitable<std::variant<chosen_server, refusal_cause>>
 request_handler::find_server()
 {
@@ -457,7 +484,6 @@
 
 net::awaitable<refusal_cause> request_handler::run_attempts()
 {
-    m_state.retry_budget_for(m_query.service).on_request();
     refusal_cause cause = refusal_cause::not_run;
     for (;;)
     {
@@ -505,9 +531,16 @@
     {
         return false;
     }
+    const bool is_left_to_others =
+        may_hand_over() && m_state.reach.is_cut_off(m_query.service);
     if (last == attempt_result::not_sent)
     {
-        return ++m_unreached_attempts < max_unreached_attempts;
+        return ++m_unreached_attempts < max_unreached_attempts &&
+               !is_left_to_others;
+    }
+    if (last == attempt_result::failed && is_left_to_others)
+    {
+        return false;
     }
     const bool has_run =
         last == attempt_result::failed || last == attempt_result::interrupted;
@@ -524,6 +557,7 @@
 {
     m_open_response = nullptr;
     m_state.pool.on_end(server.id, outcome, monotonic_clock::now());
+    record_reach(server, outcome);
     m_state.queue.wake(m_query.service);
     m_state.metrics.record_attempt(m_query.service, to_string(outcome));
     if (outcome != attempt_outcome::answered)
@@ -605,6 +639,7 @@
     m_reported_load.reset();
     m_is_attempt_sound = false;
     m_is_cut_off = false;
+    m_has_response_head = false;
     m_attempt_event_at.reset();
     m_sent_at = monotonic_clock::now();
     m_state.pool.on_begin(server.id, m_query, m_sent_at);
@@ -618,7 +653,7 @@
     auto sent = co_await m_state.client->send(
         server.address,
         m_state.codec.make_forward(m_exchange.received(), order),
-        time_left() - response_margin,
+        time_for_response(),
         &m_canceller);
     if (auto* failure = std::get_if<http::request_failure>(&sent))
     {
@@ -652,6 +687,16 @@
 
 net::awaitable<void> request_handler::refuse(refusal_cause cause)
 {
+    const bool is_left_to_others = cause == refusal_cause::no_plan ||
+                                   cause == refusal_cause::shutting_down ||
+                                   cause == refusal_cause::no_server ||
+                                   cause == refusal_cause::not_run;
+    if (m_handed_over_until && is_left_to_others && m_reached_attempts == 0)
+    {
+        m_is_unserved = true;
+        log_end(to_string(cause));
+        co_return;
+    }
     std::optional<duration> retry_after;
     if (cause == refusal_cause::no_plan)
     {
@@ -688,15 +733,19 @@
                                ? duration::zero()
                                : m_first_byte_at - m_arrived_at;
     const auto& reported = m_reported_load;
-    m_state.metrics.record(
-        {m_query.service,
-         m_tenant == nullptr ? std::string() : m_tenant->name,
-         outcome,
-         m_status,
-         m_reached_attempts,
-         m_wait_time,
-         first,
-         now - m_arrived_at});
+    // The router that the caller sent the request to counts it.
+    if (!m_handed_over_until)
+    {
+        m_state.metrics.record(
+            {m_query.service,
+             m_tenant == nullptr ? std::string() : m_tenant->name,
+             outcome,
+             m_status,
+             m_reached_attempts,
+             m_wait_time,
+             first,
+             now - m_arrived_at});
+    }
     log_event(log_level::info,
               "request.end",
               {{"request", m_call.id.get()},
@@ -709,6 +758,8 @@
                {"tenant", m_tenant == nullptr ? "" : m_tenant->name},
                {"outcome", outcome},
                {"status", m_status},
+               {"for_another", m_handed_over_until.has_value()},
+               {"served_by", m_served_by.get()},
                {"engine", m_server.get()},
                {"engine_version", m_server_version},
                {"resumes", m_call.resumes.get()},
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -32,6 +32,12 @@
 {
 public:
     request_handler(gateway_state& state, http::exchange& caller);
+
+    /// Handles a request that another router handed over, in the time left to
+    /// it. It is not handed over again.
+    request_handler(gateway_state& state,
+                    http::exchange& caller,
+                    duration time_left);
     ~request_handler();
 
     request_handler(const request_handler&) = delete;
@@ -39,6 +45,13 @@
 
     boost::asio::awaitable<void> run();
 
+    /// Returns whether a request that was handed over got no response, since it
+    /// has not run and another router may be able to serve it.
+    bool is_unserved() const noexcept
+    {
+        return m_is_unserved;
+    }
+
     /// Lets run() end soon: a request that was not sent is refused, one without
     /// a response gets a time-out, and a stream is cut off.
     void end_for_shutdown();
@@ -54,6 +67,28 @@
         interrupted ///< A stream broke off after a part reached the caller.
     };
 
+    /// How another router served the request.
+    enum class handover_result
+    {
+        answered,   ///< The caller has its response or disconnected.
+        not_served, ///< It has not run and will not run there.
+        failed,     ///< It may have run.
+        timed_out   ///< It may have run.
+    };
+
+    /// A response that another router sends.
+    struct relayed_response
+    {
+        relayed_response(response_buffer_budget& budget, const vm_id& router);
+
+        std::uint32_t next_sequence = 0;
+        /// Bytes that the caller took and the other router does not know of.
+        std::uint32_t uncredited = 0;
+        /// Of a response with a length.
+        std::optional<http::response_head> whole;
+        response_buffer body;
+    };
+
     std::optional<refusal_cause> read_call();
     /// Waits for the configuration during the startup period.
     boost::asio::awaitable<void> wait_for_configuration();
@@ -77,6 +112,34 @@
     /// server pool.
     void record_requests_taken(const server_answer& fields);
     boost::asio::awaitable<refusal_cause> run_attempts();
+    /// Lets this router serve the request or, if it reaches no server, another.
+    boost::asio::awaitable<refusal_cause> serve();
+    bool may_hand_over() const;
+    /// Returns whether other routers may still serve the request, of which this
+    /// one's attempts ended for the cause.
+    bool may_be_served_elsewhere(refusal_cause cause);
+    boost::asio::awaitable<handover_result> hand_over();
+    /// Cuts off a stream that the other router did not end.
+    void cut_off_unless_answered(handover_result result);
+    boost::asio::awaitable<handover_result>
+    hand_over_to(sent_handover& sent, relayed_response& answer);
+    /// Relays a message of the router that serves the request. Returns nothing
+    /// while more are to come.
+    boost::asio::awaitable<std::optional<handover_result>>
+    relay(const pipeline::exchange_content& content,
+          sent_handover& sent,
+          relayed_response& answer);
+    boost::asio::awaitable<std::optional<handover_result>>
+    relay_head(const pipeline::head_message& head, relayed_response& answer);
+    boost::asio::awaitable<std::optional<handover_result>>
+    relay_part(const pipeline::part_message& part,
+               sent_handover& sent,
+               relayed_response& answer);
+    boost::asio::awaitable<std::optional<handover_result>>
+    relay_finish(const pipeline::finish_message& finish,
+                 relayed_response& answer);
+    /// Records whether the server could be reached.
+    void record_reach(const chosen_server& server, attempt_outcome outcome);
     boost::asio::awaitable<attempt_result> attempt(const chosen_server& server);
     boost::asio::awaitable<attempt_result>
     forward_response(const chosen_server& server,
@@ -104,6 +167,8 @@
     bool may_retry(attempt_result last);
     attempt_outcome outcome_of(attempt_result result) const;
     duration time_left() const;
+    /// Returns the time within which a server has to begin its response.
+    duration time_for_response() const;
     /// Returns whether the gateway can serve the request before it shuts down.
     bool can_end_before_shutdown() const;
     /// Returns whether no further attempt could end before the deadline.
@@ -148,9 +213,19 @@
     http::send_canceller m_canceller;
     http::response_stream* m_open_response = nullptr;
     boost::asio::steady_timer* m_sleep = nullptr;
+    sent_handover* m_sent_handover = nullptr;
     bool m_caller_gone = false;
     bool m_is_ending = false;
 
+    /// Of a request that another router handed over: when it has to end.
+    std::optional<time_point> m_handed_over_until;
+    bool m_is_unserved = false;
+    /// Whether the request tries the servers of a service that is cut off.
+    bool m_is_trial = false;
+    bool m_was_handed_over = false;
+    /// The router that served the request for this one.
+    vm_id m_served_by;
+
     /// Attempts that reached or may have reached a server, and those that did
     /// not.
     unsigned m_reached_attempts = 0;
@@ -165,6 +240,8 @@
     /// Whether the server ended the last attempt's connection amid its answer,
     /// as it does when it crashes.
     bool m_is_cut_off = false;
+    /// Whether the last attempt's server sent the head of a response.
+    bool m_has_response_head = false;
     bool m_stream_begun = false;
     /// Whether the caller got events that another run would repeat.
     bool m_has_unnumbered_events = false;
--- a/libs/gateway/src/request_handler_response.cpp
+++ b/libs/gateway/src/request_handler_response.cpp
@@ -90,6 +90,7 @@
         co_return m_stream_begun ? attempt_result::interrupted
                                  : attempt_result::failed;
     }
+    m_has_response_head = true;
     m_open_response = answer.get();
     m_delimiter = answer->delimiter();
     answer->set_read_timeout(time_left());
--- /dev/null
+++ b/libs/gateway/test/reach_tracker_test.cpp
@@ -0,0 +1,71 @@
+#include "reach_tracker.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace limpet;
+using namespace limpet::gateway;
+
+namespace
+{
+
+const time_point start_time{seconds(1000)};
+
+struct tracker_of_unreached_servers
+{
+    reach_tracker tracker;
+
+    void lose_servers(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            tracker.on_unreached(
+                "s", engine_id("i-" + std::to_string(i)), start_time);
+        }
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(reach_trackers, tracker_of_unreached_servers)
+
+BOOST_AUTO_TEST_CASE(service_is_cut_off_after_several_servers_in_a_row)
+{
+    lose_servers(reach_tracker::unreached_servers - 1);
+    BOOST_TEST(!tracker.is_cut_off("s"));
+    BOOST_TEST(tracker.has_unreached("s"));
+    // The same one again tells nothing of the others.
+    tracker.on_unreached("s", engine_id("i-0"), start_time);
+    BOOST_TEST(!tracker.is_cut_off("s"));
+    lose_servers(reach_tracker::unreached_servers);
+    BOOST_TEST(tracker.is_cut_off("s"));
+    BOOST_TEST(!tracker.is_cut_off("t"));
+}
+
+BOOST_AUTO_TEST_CASE(service_is_not_cut_off_once_a_server_responds)
+{
+    lose_servers(reach_tracker::unreached_servers - 1);
+    tracker.on_reached("s");
+    BOOST_TEST(!tracker.has_unreached("s"));
+    lose_servers(reach_tracker::unreached_servers);
+    BOOST_TEST(tracker.is_cut_off("s"));
+    tracker.on_reached("s");
+    BOOST_TEST(!tracker.is_cut_off("s"));
+}
+
+BOOST_AUTO_TEST_CASE(service_that_is_cut_off_is_tried_in_intervals)
+{
+    const auto may_try = [this](duration after, bool may_repeat)
+    {
+        return tracker.try_begin_trial("s", may_repeat, start_time + after);
+    };
+    BOOST_TEST(!may_try(seconds(9), true));
+    lose_servers(reach_tracker::unreached_servers);
+    const duration interval = reach_tracker::trial_interval;
+    BOOST_TEST(!may_try(interval - milliseconds(1), true));
+    BOOST_TEST(may_try(interval, true));
+    BOOST_TEST(!may_try(2 * interval - milliseconds(1), true));
+    BOOST_TEST(!may_try(2 * interval, false));
+    BOOST_TEST(may_try(interval + reach_tracker::single_trial_interval, false));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/pipeline/include/limpet/pipeline/exchange_message.hpp
+++ b/libs/pipeline/include/limpet/pipeline/exchange_message.hpp
@@ -52,11 +52,24 @@
     http::request call;
 };
 
+/// Requests that the receiver serve a request in the place of a router that
+/// reaches no server: it chooses the server as for its own callers.
+struct hand_over_message
+{
+    /// Remaining time until the caller's deadline.
+    duration time_left{};
+    /// The request as the caller sent it.
+    http::request call;
+};
+
 /// Status and header fields of the engine's response.
 struct head_message
 {
     std::uint32_t sequence = 0;
     http::response_head head;
+    /// Of a handed-over request: whether the response has a length, so that the
+    /// caller gets it in one piece.
+    bool is_whole = false;
 };
 
 /// Part of the response body. Event streams are split only between events.
@@ -158,7 +171,8 @@
                                       query_message,
                                       state_message,
                                       placed_message,
-                                      load_message>;
+                                      load_message,
+                                      hand_over_message>;
 
 /// One message of an exchange.
 struct exchange_message
--- a/libs/pipeline/src/exchange_codec.cpp
+++ b/libs/pipeline/src/exchange_codec.cpp
@@ -102,7 +102,22 @@
         kind = fbs::body::head;
         const auto headers = write_headers(builder, value.head.headers);
         const auto code = static_cast<std::uint16_t>(value.head.status);
-        return fbs::Createhead(builder, value.sequence, code, headers).Union();
+        return fbs::Createhead(
+                   builder, value.sequence, code, headers, value.is_whole)
+            .Union();
+    }
+
+    Offset<void> operator()(const hand_over_message& value)
+    {
+        kind = fbs::body::hand_over;
+        const auto headers = write_headers(builder, value.call.headers);
+        return fbs::Createhand_over(builder,
+                                    to_wire_ms(value.time_left),
+                                    builder.CreateString(value.call.method),
+                                    builder.CreateString(value.call.target),
+                                    headers,
+                                    builder.CreateString(value.call.body))
+            .Union();
     }
 
     Offset<void> operator()(const part_message& value)
@@ -205,6 +220,17 @@
     return value;
 }
 
+hand_over_message read_hand_over(const fbs::hand_over& table)
+{
+    hand_over_message value;
+    value.time_left = milliseconds(table.time_left_ms());
+    value.call.method = table.method()->str();
+    value.call.target = table.target()->str();
+    value.call.headers = read_headers(*table.headers());
+    value.call.body = table.body()->str();
+    return value;
+}
+
 /// Returns the enumerator with the number, or nothing if there is none.
 template <class Enum>
 std::optional<Enum> checked_enum(std::uint8_t number, Enum highest)
@@ -256,7 +282,8 @@
     {
         const fbs::head& head = *table.content_as_head();
         return head_message{head.sequence(),
-                            {head.status(), read_headers(*head.headers())}};
+                            {head.status(), read_headers(*head.headers())},
+                            head.is_whole()};
     }
     case fbs::body::part:
     {
@@ -289,6 +316,8 @@
                             load.in_flight(),
                             token_count(load.cached_tokens())};
     }
+    case fbs::body::hand_over:
+        return read_hand_over(*table.content_as_hand_over());
     case fbs::body::NONE:
         break;
     }
--- a/libs/pipeline/test/exchange_codec_test.cpp
+++ b/libs/pipeline/test/exchange_codec_test.cpp
@@ -43,7 +43,7 @@
     finish.holders = {{engine_id("e2"), incarnation(3), token_count(9)}};
     const prefix_holder holder{engine_id("e3"), incarnation(4), token_count(5)};
     return {make_open(),
-            head_message{1, head},
+            head_message{1, head, true},
             part_message{2, 5, "data: x\n\n"},
             finish,
             credit_message{1000},
@@ -51,7 +51,8 @@
             query_message{incarnation(8)},
             state_message{exchange_state::unknown},
             placed_message{team_id("t"), chat_id("c"), holder},
-            load_message{engine_id("e4"), incarnation(5), 6, token_count(7)}};
+            load_message{engine_id("e4"), incarnation(5), 6, token_count(7)},
+            hand_over_message{milliseconds(1500), make_open().call}};
 }
 
 } // namespace
