Gateway: a service is reached again once several servers respond

A router that was not sure of its way also took requests of others.

Responses of two servers end the state now, only to requests that were sent after the last failure, and a router that has just failed to reach a server of a service takes no requests of others for it.

--- a/libs/gateway/src/reach_tracker.cpp
+++ b/libs/gateway/src/reach_tracker.cpp
@@ -5,25 +5,40 @@
 namespace limpet::gateway
 {
 
-void reach_tracker::on_reached(const std::string& service)
+void reach_tracker::on_reached(const std::string& service,
+                               const engine_id& server,
+                               time_point sent_at)
 {
-    if (is_cut_off(service))
+    const auto found = m_records.find(service);
+    if (found == m_records.end() || sent_at < found->second.unreached_at)
+    {
+        return;
+    }
+    if (!is_cut_off(service))
+    {
+        m_records.erase(found);
+        return;
+    }
+    found->second.reached.insert(server);
+    if (found->second.reached.size() >= reached_servers)
     {
         log_event(
             log_level::info, "service.reached_again", {{"service", service}});
+        m_records.erase(found);
     }
-    m_records.erase(service);
 }
 
 void reach_tracker::on_unreached(const std::string& service,
                                  const engine_id& server,
                                  time_point now)
 {
+    record& each = m_records[service];
+    each.unreached_at = now;
+    each.reached.clear();
     if (is_cut_off(service))
     {
         return;
     }
-    record& each = m_records[service];
     each.unreached.insert(server);
     if (is_cut_off(service))
     {
--- a/libs/gateway/src/reach_tracker.hpp
+++ b/libs/gateway/src/reach_tracker.hpp
@@ -23,6 +23,9 @@
 public:
     /// Servers unreached in a row after which a service counts as cut off.
     static constexpr std::size_t unreached_servers = 4;
+    /// Servers that have to respond before a service that is cut off counts as
+    /// reached again: connections of before the cut may live on.
+    static constexpr std::size_t reached_servers = 2;
     /// Interval of the requests that try the servers of a service that is cut
     /// off.
     static constexpr duration trial_interval = milliseconds(500);
@@ -30,8 +33,11 @@
     /// ends: they are tried if there are no others.
     static constexpr duration single_trial_interval = seconds(2);
 
-    /// Records that a server of the service responded.
-    void on_reached(const std::string& service);
+    /// Records that a server of the service responded to a request that was
+    /// sent at `sent_at`. Shows nothing of the time before.
+    void on_reached(const std::string& service,
+                    const engine_id& server,
+                    time_point sent_at);
 
     /// Records that a server of the service could not be reached.
     void on_unreached(const std::string& service,
@@ -54,7 +60,11 @@
 private:
     struct record
     {
+        /// Servers not reached in a row, and the time of the last one.
         std::set<engine_id> unreached;
+        time_point unreached_at{};
+        /// While the service is cut off: servers reached since.
+        std::set<engine_id> reached;
         time_point last_trial{};
     };
 
--- a/libs/gateway/src/request_handler_handover.cpp
+++ b/libs/gateway/src/request_handler_handover.cpp
@@ -37,7 +37,7 @@
     case attempt_outcome::answered:
     case attempt_outcome::refused:
     case attempt_outcome::failed:
-        m_state.reach.on_reached(m_query.service);
+        m_state.reach.on_reached(m_query.service, server.id, m_sent_at);
         return;
     case attempt_outcome::unreachable:
     case attempt_outcome::broken:
@@ -98,7 +98,7 @@
                                       monotonic_clock::now());
     const bool is_cut_off =
         m_state.reach.is_cut_off(m_query.service) && !m_is_trial;
-    if (is_cut_off && m_handed_over_until)
+    if (m_handed_over_until && m_state.reach.has_unreached(m_query.service))
     {
         co_return refusal_cause::no_server;
     }
--- a/libs/gateway/test/handed_over_requests_test.cpp
+++ b/libs/gateway/test/handed_over_requests_test.cpp
@@ -226,6 +226,7 @@
     {
         state.reach.on_unreached("s", engine_id(std::to_string(i)), lost_at);
     }
+    state.reach.on_reached("s", engine_id("earlier"), lost_at);
     BOOST_TEST(state.reach.is_cut_off("s"));
     BOOST_TEST(run().front() == "200 reached");
     BOOST_TEST(!state.reach.is_cut_off("s"));
@@ -320,6 +321,16 @@
     BOOST_TEST(total_requests() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(router_that_has_not_reached_a_server_takes_no_requests)
+{
+    add_servers_of_other(with_body("whole"));
+    set_routes(request_kind::single);
+    other.reach.on_unreached("s", engine_id("i-9"), monotonic_clock::now());
+    BOOST_TEST(run().front().substr(0, 3) == "503");
+    BOOST_TEST(total_requests() == 0);
+    BOOST_TEST(handed_over_to("far") == 1);
+}
+
 BOOST_AUTO_TEST_CASE(router_that_shuts_down_takes_no_requests_of_others)
 {
     add_servers_of_other(with_body("whole"));
--- a/libs/gateway/test/reach_tracker_test.cpp
+++ b/libs/gateway/test/reach_tracker_test.cpp
@@ -41,15 +41,32 @@
     BOOST_TEST(!tracker.is_cut_off("t"));
 }
 
-BOOST_AUTO_TEST_CASE(service_is_not_cut_off_once_a_server_responds)
+BOOST_AUTO_TEST_CASE(response_of_a_server_ends_the_row)
 {
     lose_servers(reach_tracker::unreached_servers - 1);
-    tracker.on_reached("s");
+    tracker.on_reached("s", engine_id("i-9"), start_time);
     BOOST_TEST(!tracker.has_unreached("s"));
+}
+
+BOOST_AUTO_TEST_CASE(response_to_an_earlier_request_shows_nothing)
+{
+    lose_servers(1);
+    tracker.on_reached("s", engine_id("i-9"), start_time - milliseconds(1));
+    BOOST_TEST(tracker.has_unreached("s"));
+}
+
+// Guards against connections of before a cut that live on.
+BOOST_AUTO_TEST_CASE(service_is_reached_again_once_several_servers_respond)
+{
     lose_servers(reach_tracker::unreached_servers);
+    tracker.on_reached("s", engine_id("i-8"), start_time);
+    tracker.on_reached("s", engine_id("i-8"), start_time);
     BOOST_TEST(tracker.is_cut_off("s"));
-    tracker.on_reached("s");
-    BOOST_TEST(!tracker.is_cut_off("s"));
+    tracker.on_unreached("s", engine_id("i-7"), start_time);
+    tracker.on_reached("s", engine_id("i-9"), start_time);
+    BOOST_TEST(tracker.is_cut_off("s"));
+    tracker.on_reached("s", engine_id("i-8"), start_time);
+    BOOST_TEST(!tracker.has_unreached("s"));
 }
 
 BOOST_AUTO_TEST_CASE(service_that_is_cut_off_is_tried_in_intervals)
