HTTP client: connections to silent machines end by one rule, computed and measured

Cause: end_when_silent set TCP_USER_TIMEOUT and two probes of 1 s for every timeout. On Linux a set TCP_USER_TIMEOUT decides when probes give up, so the count did not matter, and where only the count is looked at, connections ended after 3 s whatever the timeout. Nothing said or checked when a connection ends.

The count follows from the timeout now, so that both rules end an idle read at the same time: not before the timeout and at most 1 s after it, as probes come in whole seconds. Timeouts below 1 s cannot be kept on idle reads: Linux knows no end before 2 s. With data in flight the timeout counts from the first retransmission. The rule is a pure function in silence.hpp, beside the options.

--- a/libs/http/include/limpet/http/client.hpp
+++ b/libs/http/include/limpet/http/client.hpp
@@ -27,9 +27,9 @@
 {
     std::size_t header_bytes = 16UL * 1024;
     duration connect_timeout = seconds(2);
-    /// Time after which a connection ends whose bytes the server's machine
-    /// does not acknowledge, also if it is only being read; 0 for the
-    /// system's. A server that is merely slow does not count.
+    /// Time for which the server's machine may be silent before a connection
+    /// ends, as options_for_silence() says; 0 for the system's. A server that
+    /// is merely slow does not count.
     duration silence_timeout{};
     /// Longest time for the next part of an answer's body to arrive.
     duration read_timeout = seconds(30);
--- a/libs/http/src/received_response.cpp
+++ b/libs/http/src/received_response.cpp
@@ -3,6 +3,8 @@
 #include "framing.hpp"
 #include "head_text.hpp"
 
+#include <limpet/http/silence.hpp>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/libs/http/src/transfer.cpp
+++ b/libs/http/src/transfer.cpp
@@ -4,10 +4,6 @@
 #include <boost/asio/error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 namespace limpet::http
 {
 
@@ -92,26 +88,6 @@
     socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
 }
 
-void end_when_silent(boost::asio::ip::tcp::socket& socket, duration timeout)
-{
-    const int handle = socket.native_handle();
-    const auto set = [handle](int level, int name, int value)
-    {
-        ::setsockopt(handle, level, name, &value, sizeof(value));
-    };
-    // Probes begin after the shortest time that the system knows.
-    constexpr int probe_seconds = 1;
-    constexpr int probes = 2;
-    set(IPPROTO_TCP,
-        TCP_USER_TIMEOUT,
-        static_cast<int>(
-            std::chrono::duration_cast<milliseconds>(timeout).count()));
-    set(SOL_SOCKET, SO_KEEPALIVE, 1);
-    set(IPPROTO_TCP, TCP_KEEPIDLE, probe_seconds);
-    set(IPPROTO_TCP, TCP_KEEPINTVL, probe_seconds);
-    set(IPPROTO_TCP, TCP_KEEPCNT, probes);
-}
-
 peek_result peek(boost::asio::ip::tcp::socket& socket)
 {
     char byte = 0;
--- a/libs/http/src/transfer.hpp
+++ b/libs/http/src/transfer.hpp
@@ -45,10 +45,6 @@
 /// Sets what both sides want of a connected socket.
 void prepare(boost::asio::ip::tcp::socket& socket);
 
-/// Lets the connection end once the peer's machine has acknowledged nothing
-/// for the time, be it data or a probe.
-void end_when_silent(boost::asio::ip::tcp::socket& socket, duration timeout);
-
 /// What a socket has to say without taking a byte from it.
 enum class peek_result
 {
