Links: a link to a silent machine ends also while it is idle or only read

Cause: set_link_options set TCP_USER_TIMEOUT without keep-alive probes. It acts on data in flight only, so an idle link to a machine that is gone lasted until something was sent, and the receiving end of a link, which only reads, never ended; its buffer and its place among max_incoming were kept.

Links have the options of the connections to servers now. With timeouts of 1 s idle links end after 2 s, the shortest that Linux knows; links that carry something each second send no probes. What probes cost on a large fleet of idle links was not measured.

--- a/libs/wire/include/limpet/wire/link_hub.hpp
+++ b/libs/wire/include/limpet/wire/link_hub.hpp
@@ -42,7 +42,8 @@
     duration connect_timeout = seconds(2);
     duration reconnect_delay = milliseconds(100);
     duration max_reconnect_delay = seconds(2);
-    /// A connection is closed when sent bytes stay unacknowledged for longer.
+    /// Time for which a peer's machine may be silent before a connection ends,
+    /// as http::options_for_silence() says.
     duration silence_timeout = seconds(3);
     std::size_t max_incoming = 2000;
 };
--- a/libs/wire/src/socket_options.cpp
+++ b/libs/wire/src/socket_options.cpp
@@ -1,8 +1,6 @@
 #include "socket_options.hpp"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
+#include <limpet/http/silence.hpp>
 
 namespace limpet::wire
 {
@@ -12,13 +10,7 @@
 {
     boost::system::error_code ignored;
     socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-    const auto timeout_ms = static_cast<unsigned>(
-        std::chrono::duration_cast<milliseconds>(silence_timeout).count());
-    ::setsockopt(socket.native_handle(),
-                 IPPROTO_TCP,
-                 TCP_USER_TIMEOUT,
-                 &timeout_ms,
-                 sizeof(timeout_ms));
+    http::end_when_silent(socket, silence_timeout);
 }
 
 } // namespace limpet::wire
--- a/libs/wire/src/socket_options.hpp
+++ b/libs/wire/src/socket_options.hpp
@@ -10,9 +10,10 @@
 namespace limpet::wire
 {
 
-/// Disables Nagle's algorithm and lets the kernel close the connection when
-/// sent bytes stay unacknowledged for the timeout, as in a network partition
-/// that drops packets silently.
+/// Disables Nagle's algorithm and lets the kernel close the connection when the
+/// peer's machine is silent for the timeout, as in a network partition that
+/// drops packets silently, also if the connection is idle or only read:
+/// http::options_for_silence() says when.
 void set_link_options(boost::asio::ip::tcp::socket& socket,
                       duration silence_timeout);
 
