Servers silent for a second or so keep their connections

Cause: server_silence_timeout was 900 ms, so a server whose machine was silent for a second, its system too, lost its connections: what may run once failed and streams began again elsewhere. A silence of the process alone ended nothing: the connect timeout applies before anything is sent, reads have the request's own time.

Taking 1.5 s for "a second or so": over 2 s, so that an idle read ends after 3 s and not at its second probe, and over the 1.9 s until Linux sends lost data again after such a silence (100 ms for a round trip). At most 2300 ms, so that data that are in flight when a router is cut off end within 3 s; kept connections that were idle then end after 3 s, and requests that follow connect, which fails within 250 ms. The constant has a header of its own, for the test.

Limits: where the silence loses segments instead of holding them up, an idle read survives 1 s at any moment, a longer silence only if it doesn't cover two probes (1 s apart). A request sent to a machine that is gone over a kept connection learns so after 2.7 s instead of 1.3 s (measured on loopback), which is later than the end of repeatable requests with an objective of 1 s.

Tests: with 900 ms the request lost in a silence of 1.2 s got "502 failed" and the server 1 of 2 requests, and the stream was resumed elsewhere (1 request, none expected); the checks of the constant failed too (an idle read ends after 2.0 s, over 2.5 needed; data in flight at 1.3 s, sent again at 1.6 s). All pass with 2300 ms.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -1,6 +1,7 @@
 #include "directory_client.hpp"
 #include "gateway_state.hpp"
 #include "request_handler.hpp"
+#include "server_silence.hpp"
 
 #include <limpet/base/log.hpp>
 #include <limpet/gateway/gateway.hpp>
@@ -33,9 +34,6 @@
 /// Timeout of connecting to a server. Covers several round trips between data
 /// centres and is shorter than any route's latency objective.
 constexpr duration connect_timeout = milliseconds(250);
-/// Time without acknowledgements from a server's VM after which a connection is
-/// closed. Long enough to survive two consecutive lost packets.
-constexpr duration server_silence_timeout = milliseconds(900);
 /// Time after which an idle connection to a server is closed.
 constexpr duration server_idle_timeout = seconds(4);
 
