Tests: a cut in which bytes are dropped, as between machines

The way "silent" of cut_off_from_servers.py acknowledges what routers send, since the proxy's system does: routers learn of such a cut only at their requests' deadlines. The users' cuts acknowledge nothing.

--- a/tests/soak/cut_off_from_servers.py
+++ b/tests/soak/cut_off_from_servers.py
@@ -7,14 +7,18 @@
 began, first attempts at the routers that are cut off must be served two thirds
 as often as at the others, or no more than 10 and 1 in 50 of all first attempts
 may fail there. Ways: their connections to servers are reset and new ones are
-reset ("reset"), live on while new ones are reset ("refused"), or fall silent
-("silent"). Exits with 1 if the bound is broken, or another promise.
+reset ("reset"), live on while new ones are reset ("refused"), fall silent, with
+bytes that are acknowledged ("silent") or without ("dropped"). Exits with 1 if
+the bound is broken, or another promise.
 """
 
 import argparse
 import asyncio
+import ctypes
 import os
 import shutil
+import socket
+import struct
 import sys
 import tempfile
 
@@ -28,7 +32,20 @@
 SERVERS = 16
 CALLERS = 40
 CUT_S = 12.0
-WAYS = ("reset", "refused", "silent")
+WAYS = ("reset", "refused", "silent", "dropped")
+SO_ATTACH_FILTER = 26
+# A socket filter of one instruction, which returns 0: nothing arrives.
+DROP_ALL = b"\x06\0\0\0\0\0\0\0"
+
+
+def drop_what_arrives(writer):
+    """To the other end, the connection's machine is silent from now on."""
+    code = ctypes.create_string_buffer(DROP_ALL, len(DROP_ALL))
+    program = struct.pack("HP", len(DROP_ALL) // 8, ctypes.addressof(code))
+    # The transport's socket has no setsockopt() for buffers.
+    with socket.socket(fileno=os.dup(
+            writer.get_extra_info("socket").fileno())) as copy:
+        copy.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
 
 
 def in_table(address):
@@ -78,7 +95,9 @@
             inode = inode_of_peer(writer)
             if any(owns(each, inode) for each in self.world.cut_processes):
                 self.cut_writers.add(writer)
-                if self.world.way == "silent":
+                if self.world.way == "dropped":
+                    drop_what_arrives(writer)
+                if self.world.way in ("silent", "dropped"):
                     await self.world.cut_ended.wait()
                 transport.reset(writer)
                 return
@@ -93,14 +112,17 @@
             if any(owns(each, inode) for each in self.world.cut_processes):
                 if self.world.way == "reset":
                     transport.reset(writer)
-                elif self.world.way == "silent":
+                elif self.world.way in ("silent", "dropped"):
+                    if self.world.way == "dropped":
+                        drop_what_arrives(writer)
                     writer.transport.pause_reading()
                     self.cut_writers.add(writer)
 
     async def _pump(self, reader, writer, blocking):
         while True:
             data = await reader.read(65536)
-            if self.world.way == "silent" and writer in self.cut_writers:
+            if self.world.way in ("silent", "dropped") and \
+                    writer in self.cut_writers:
                 await self.world.cut_ended.wait()
             if not data:
                 writer.write_eof()
