--- a/libs/gateway/test/silent_servers_test.cpp
+++ b/libs/gateway/test/silent_servers_test.cpp
@@ -15,6 +15,7 @@
 #include <linux/sockios.h>
 #include <sstream>
 #include <sys/ioctl.h>
+#include <utility>
 
 using namespace limpet;
 using namespace limpet::gateway;
@@ -63,7 +64,7 @@
     duration first;
 };
 
-/// Keeps one connection, over which it answers requests. Its machine falls
+/// Answers requests over one connection at a time. Its machine falls
 /// silent when asked.
 class server_with_silence
 {
@@ -71,6 +72,7 @@
     explicit server_with_silence(net::io_context& context)
         : m_acceptor(context, {net::ip::address_v4::loopback(), 0}),
           m_socket(context),
+          m_former(context),
           m_timer(context)
     {
     }
@@ -86,16 +88,19 @@
         BOOST_REQUIRE(http::begin_silence(m_socket));
         m_timer.expires_after(length);
         m_timer.async_wait(
-            [this](boost::system::error_code)
+            [this](boost::system::error_code cancelled)
             {
-                http::end_silence(m_socket);
+                if (!cancelled)
+                {
+                    http::end_silence(m_socket);
+                }
             });
     }
 
     /// Answers as many requests in turn.
     net::awaitable<void> answer_requests(int count)
     {
-        m_socket = std::get<1>(co_await m_acceptor.async_accept(as_result));
+        co_await accept();
         for (int i = 0; i < count; ++i)
         {
             if (!co_await receive())
@@ -111,7 +116,7 @@
     /// and ends the stream with another event.
     net::awaitable<void> stream_with_pause(duration silence, duration pause)
     {
-        m_socket = std::get<1>(co_await m_acceptor.async_accept(as_result));
+        co_await accept();
         if (!co_await receive())
         {
             co_return;
@@ -142,6 +147,7 @@
         m_timer.cancel();
         m_acceptor.close(ignored);
         m_socket.close(ignored);
+        m_former.close(ignored);
     }
 
 private:
@@ -159,6 +165,13 @@
                                                                         : 0;
     }
 
+    /// Leaves the former connection open.
+    net::awaitable<void> accept()
+    {
+        m_former = std::exchange(
+            m_socket, std::get<1>(co_await m_acceptor.async_accept(as_result)));
+    }
+
     net::awaitable<bool> receive()
     {
         std::string request;
@@ -175,6 +188,7 @@
 
     net::ip::tcp::acceptor m_acceptor;
     net::ip::tcp::socket m_socket;
+    net::ip::tcp::socket m_former;
     net::steady_timer m_timer;
     int m_requests = 0;
 };
@@ -196,6 +210,8 @@
     ~gateway_with_silent_server()
     {
         server.close();
+        // Its coroutines end before it does.
+        context.poll();
     }
 };
 
@@ -253,6 +269,33 @@
     BOOST_TEST(server.requests() == 2);
 }
 
+BOOST_FIXTURE_TEST_CASE(
+    kept_connection_to_silent_server_is_not_used_after_contact_time,
+    gateway_with_silent_server)
+{
+    set_route(directory::request_kind::single, 1);
+    net::co_spawn(context, server.answer_requests(1), net::detached);
+    BOOST_TEST(run().front() == "200 whole");
+    server.be_silent(seconds(60));
+    // The last probe comes up to 0.1 s late, the next one would after 1 s.
+    net::steady_timer timer(context, contact_time + milliseconds(500));
+    bool is_over = false;
+    timer.async_wait(
+        [&is_over](boost::system::error_code)
+        {
+            is_over = true;
+        });
+    while (!is_over)
+    {
+        context.run_one();
+    }
+    net::co_spawn(context, server.answer_requests(1), net::detached);
+    const time_point sent_at = monotonic_clock::now();
+    BOOST_TEST(run().front() == "200 whole");
+    BOOST_TEST(to_milliseconds(monotonic_clock::now() - sent_at) < 1000);
+    BOOST_TEST(server.requests() == 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(stream_of_server_silent_for_a_second_stays_there,
                         gateway_with_silent_server)
 {
