--- a/libs/gateway/include/limpet/gateway/protocol.hpp
+++ b/libs/gateway/include/limpet/gateway/protocol.hpp
@@ -93,6 +93,9 @@
     /// it names a limit.
     std::optional<double> request_limit;
     bool is_limit_unreadable = false;
+    /// Requests that the server may turn away in a second for want of room
+    /// without falling over, if it says that it is brittle.
+    std::optional<double> brittle_refusals;
     /// The server leaves: it takes no request that is sent from now on.
     bool leaves = false;
     /// The server turns the request away, and the time for which it asks this
