Server pool: brittle servers are not made to turn many requests away

A server that says that it is brittle falls over if it turns more than N requests away in a second, of all routers together. Routers kept to what each of them knew of the load, 0.3 s old, so that a full server refused many at once.

A router now replaces its own requests that have ended at a brittle server, and shares the N with the others for the rest, or the slots while there is much room (docs/design/server-limits.md). What is known holds for a service, so that a start that is back after a fall is not flooded; it travels with the limits.

The simulated servers report waiting requests beyond their slots, as the real ones do.

--- a/libs/gateway/include/limpet/gateway/server_pool.hpp
+++ b/libs/gateway/include/limpet/gateway/server_pool.hpp
@@ -15,6 +15,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -96,7 +97,8 @@
     no_server, ///< No registered server is usable.
     no_room,   ///< All usable servers are at their limits.
     limited,   ///< All usable servers name limits, and those with room have
-               ///< reached them.
+               ///< reached them; or all are brittle, and this router has no
+               ///< requests there whose end would allow another.
     closed,    ///< All usable servers have turned requests away and are sent
                ///< none for a time.
 };
@@ -219,6 +221,17 @@
                   time_point sent_at,
                   time_point now);
 
+    /// Records what an answer says of the requests that the server may refuse
+    /// in a second for want of room without falling over: nothing if it is not
+    /// brittle.
+    void on_brittle(const engine_id& id,
+                    std::optional<double> refusals_per_s,
+                    time_point now);
+
+    /// Returns whether servers of the server's service say that they are
+    /// brittle.
+    bool is_brittle(const engine_id& id, time_point now) const;
+
     /// Returns what the limits allow, for a query for which all usable servers
     /// have limits.
     limit_forecast forecast_limits(const server_query& query, time_point now);
@@ -263,6 +276,22 @@
     /// requests that may start.
     static constexpr duration initial_cold_time = seconds(1);
 
+    /// What this router may send to a brittle server besides replacements, and
+    /// what it was computed from.
+    struct brittle_allowance
+    {
+        admission::token_bucket requests;
+        /// The share in force: of the refusals that the server stands, or of
+        /// the rate at which it is sent requests while there is much room.
+        double share = 0;
+        double full_share = 0;
+        double open_share = 0;
+        std::optional<double> refusals;
+        double open_rate = 0;
+        std::uint32_t turn = 0;
+        std::uint64_t shared_among = 0;
+    };
+
     struct server_record
     {
         directory::registration registration;
@@ -281,6 +310,7 @@
         /// Requests of other routers according to the last load report.
         double other_routers_requests = 0;
         time_point load_reported_at{};
+        std::uint32_t waiting_requests = 0;
         /// Consecutive failures, and the end of the backoff after them.
         std::uint32_t failures = 0;
         time_point backoff_until{};
@@ -296,6 +326,10 @@
         double limit_share = 0;
         std::optional<directory::server_limit> shared_limit;
         std::uint64_t shared_among = 0;
+        brittle_allowance brittle;
+        /// When this router's requests that it may replace ended at the server
+        /// while it is brittle.
+        std::deque<time_point> replacements;
         /// Fields of answers that were logged as unreadable.
         std::set<std::string, std::less<>> unreadable_fields;
         admission::refusal_backoff refusals;
@@ -356,6 +390,22 @@
                           const server_query& query,
                           time_point now) const;
     bool has_cold_capacity(server_record& each, time_point now);
+    const directory::server_limit* find_brittle(origins::service_key service,
+                                                time_point now) const;
+    bool was_refused_within(origins::service_key service,
+                            duration time,
+                            time_point now) const;
+    void record_full(const server_record& each, time_point now);
+    static bool has_waiting_requests(const server_record& each, time_point now);
+    void allow_replacement(server_record& each, time_point now);
+    static void take_brittle_capacity(server_record& each);
+    double share_of_allowed(const server_record& each,
+                            double allowed,
+                            std::uint32_t turn) const;
+    void update_brittle_shares(server_record& each,
+                               const directory::server_limit& known,
+                               time_point now);
+    bool has_brittle_capacity(server_record& each, time_point now);
     bool is_limited(const server_record& each) const;
     bool has_limited_capacity(server_record& each,
                               const server_query& query,
--- a/libs/gateway/src/request_handler_response.cpp
+++ b/libs/gateway/src/request_handler_response.cpp
@@ -133,6 +133,7 @@
     {
         pool.on_unreadable(m_server, each.name, each.text);
     }
+    pool.on_brittle(m_server, fields.brittle_refusals, now);
     if (fields.leaves)
     {
         pool.on_leaving(m_server, now);
--- a/libs/gateway/src/server_pool.cpp
+++ b/libs/gateway/src/server_pool.cpp
@@ -206,13 +206,16 @@
     server_record* best = nullptr;
     double best_cost = 0;
     bool is_limit_reached = false;
+    bool is_room_awaited = false;
     for (server_record* each : candidates)
     {
         const double load = load_of(*each, now);
         const double slots = capacity_of(*each);
+        is_room_awaited |= each->own_requests > 0 ||
+                           find_brittle(each->service, now) == nullptr;
         if (each->own_requests >= slots || load >= queued_factor * slots ||
             load > bound || !may_begin_stream(*each, query, now) ||
-            !has_cold_capacity(*each, now))
+            !has_cold_capacity(*each, now) || !has_brittle_capacity(*each, now))
         {
             continue;
         }
@@ -240,7 +243,8 @@
     }
     if (best == nullptr)
     {
-        return is_limit_reached && are_all_limited(candidates)
+        return !is_room_awaited ||
+                       (is_limit_reached && are_all_limited(candidates))
                    ? selection_failure::limited
                    : selection_failure::no_room;
     }
--- a/libs/gateway/src/server_pool_events.cpp
+++ b/libs/gateway/src/server_pool_events.cpp
@@ -173,6 +173,7 @@
     ++each.own_requests;
     each.refusals.on_sent(now);
     each.cold_requests.take();
+    take_brittle_capacity(each);
     if (query.reserved != id)
     {
         each.limited_requests.take();
@@ -222,6 +223,7 @@
     case attempt_outcome::failed:
         each.failures = 0;
         each.backoff_until = {};
+        allow_replacement(each, now);
         return;
     case attempt_outcome::refused:
     case attempt_outcome::abandoned:
--- a/libs/gateway/src/server_pool_limits.cpp
+++ b/libs/gateway/src/server_pool_limits.cpp
@@ -170,6 +170,10 @@
     {
         if (!is_limited(*each))
         {
+            // A slot takes about one request a second.
+            result.mean_rate += find_brittle(each->service, now) != nullptr
+                                    ? capacity_of(*each) / m_routers
+                                    : 0;
             continue;
         }
         has_limited_capacity(*each, query, now);
--- a/libs/gateway/src/server_pool_loads.cpp
+++ b/libs/gateway/src/server_pool_loads.cpp
@@ -86,6 +86,7 @@
     const double reported = load.running + load.waiting;
     each.other_routers_requests = std::max(0.0, reported - each.own_requests);
     each.load_reported_at = now;
+    each.waiting_requests = load.waiting;
 }
 
 std::optional<directory::load_update>
--- a/libs/gateway/src/server_pool_refusals.cpp
+++ b/libs/gateway/src/server_pool_refusals.cpp
@@ -37,7 +37,14 @@
                    {"cause", requested ? "asked_for" : "refusals"},
                    {"closed_ms", to_milliseconds(until - now)}});
     }
-    if (is_to_be_told)
+    const bool is_brittle = find_brittle(each.service, now) != nullptr;
+    if (is_brittle)
+    {
+        record_full(each, now);
+    }
+    // Brittle servers that are full are not closed to those whose requests end
+    // there.
+    if (is_to_be_told && (requested || !is_brittle))
     {
         publish({each.start_key.get(), 0, {}, 0, now, false, true});
     }
--- a/libs/gateway/test/fleet_simulation.hpp
+++ b/libs/gateway/test/fleet_simulation.hpp
@@ -44,6 +44,8 @@
     double hot_fraction = 0;
     /// Exponent of the popularity of affinity parts by rank; 0 for equal ones.
     double skew = 0;
+    /// Time since the start at which the requests begin.
+    duration begins{};
 };
 
 /// Refusal of a request, which has not run.
@@ -93,6 +95,18 @@
     {
         return std::nullopt;
     };
+    /// Requests beyond which a server refuses at a time since the start.
+    std::function<std::optional<std::uint32_t>(duration at)> room_of =
+        [](duration)
+    {
+        return std::nullopt;
+    };
+    /// The requests in a second that a server says it may refuse and stand, at
+    /// a time since the start.
+    std::function<std::optional<double>(duration at)> brittle_of = [](duration)
+    {
+        return std::nullopt;
+    };
     /// Servers to which a request may be sent that others refuse.
     unsigned attempts = 3;
     /// Time after which a refused caller returns once, if callers do that.
@@ -117,6 +131,11 @@
 constexpr double limit_factor = 1.5;
 constexpr double limit_slack = 5;
 
+/// A server that refuses more than it may in this time falls over, and is back
+/// after some seconds, as another start.
+constexpr duration fall_window = seconds(1);
+constexpr duration fall_length = seconds(3);
+
 struct event
 {
     time_point at;
@@ -167,7 +186,7 @@
     {
         for (const traffic& each : m_parameters.load)
         {
-            schedule(start,
+            schedule(start + each.begins,
                      [this, &each]
                      {
                          arrive(each);
@@ -266,6 +285,50 @@
         return count(m_refused) / count(m_sent);
     }
 
+    /// Returns how often servers fell over in the time since the start.
+    std::size_t falls(duration from, duration until) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_falls.begin(),
+                          m_falls.end(),
+                          [&](time_point at)
+                          {
+                              return at >= start + from && at < start + until;
+                          }));
+    }
+
+    /// Returns the mean number of requests at a server in the time since the
+    /// start, sampled at each arrival.
+    double mean_running(duration from, duration until) const
+    {
+        double sum = 0;
+        std::size_t count = 0;
+        for (const auto& [at, running] : m_mean_running)
+        {
+            if (at >= start + from && at < start + until)
+            {
+                sum += running;
+                ++count;
+            }
+        }
+        return sum / static_cast<double>(std::max<std::size_t>(1, count));
+    }
+
+    /// Returns the fraction of routers that served none of their requests in
+    /// the time since the start.
+    double idle_routers(duration from, duration until) const
+    {
+        std::set<std::uint32_t> serving;
+        for (const auto& [at, router] : m_accepted)
+        {
+            if (at >= start + from && at < start + until)
+            {
+                serving.insert(router);
+            }
+        }
+        return 1 - static_cast<double>(serving.size()) / m_parameters.routers;
+    }
+
     /// Returns the most requests of one router at one server during a time for
     /// which the server had asked to be left alone.
     unsigned worst_closed_time() const
@@ -402,6 +465,7 @@
         row.address = "10.0.0.1:" + std::to_string(1000 + number);
         row.data_centre = data_centre_id(std::to_string(number % 4));
         row.slots = m_parameters.slots;
+        row.born_ms = number < m_starts.size() ? m_starts[number] : 0;
         return row;
     }
 
@@ -411,6 +475,9 @@
         {
             const auto row = make_server(m_running.size());
             m_running.push_back(0);
+            m_starts.push_back(0);
+            m_down_until.push_back({});
+            m_turned_away.emplace_back();
             m_arrivals.emplace_back();
             const double spread = m_parameters.speed_spread;
             m_slowness.push_back(
@@ -532,16 +599,63 @@
         {
             each.requests += m_now >= each.from && m_now < each.until ? 1 : 0;
         }
-        if (const auto how = m_parameters.refusal_of(server, m_now - start))
+        if (m_now < m_down_until[server])
+        {
+            pool.on_begin(chosen->id, query, m_now);
+            pool.on_end(chosen->id, attempt_outcome::unreachable, m_now);
+            give_up(router, query, kind);
+        }
+        else if (const auto how = refusal_by(server))
         {
             refuse(router, query, kind, chosen->id, *how);
         }
         else
         {
+            m_accepted.emplace_back(m_now, router);
             send(pool, query, chosen->id, kind);
         }
     }
 
+    std::optional<refusal> refusal_by(std::size_t server)
+    {
+        const auto room = m_parameters.room_of(m_now - start);
+        if (!room || m_running[server] < *room)
+        {
+            return m_parameters.refusal_of(server, m_now - start);
+        }
+        auto& times = m_turned_away[server];
+        times.push_back(m_now);
+        while (times.front() <= m_now - fall_window)
+        {
+            times.pop_front();
+        }
+        const auto allowed = m_parameters.brittle_of(m_now - start);
+        if (allowed && static_cast<double>(times.size()) > *allowed)
+        {
+            fall_over(server);
+        }
+        return refusal{};
+    }
+
+    void fall_over(std::size_t server)
+    {
+        BOOST_TEST_MESSAGE("server " << server << " falls over at "
+                                     << to_seconds(m_now - start) << " s");
+        m_falls.push_back(m_now);
+        m_turned_away[server].clear();
+        m_running[server] = 0;
+        ++m_starts[server];
+        m_down_until[server] = m_now + fall_length;
+        schedule(m_down_until[server],
+                 [this, server]
+                 {
+                     for (server_pool& each : m_pools)
+                     {
+                         each.apply(make_server(server), m_now);
+                     }
+                 });
+    }
+
     /// The caller returns once, at another router, if callers do that.
     void give_up(std::uint32_t router,
                  const server_query& query,
@@ -574,6 +688,8 @@
         schedule(m_now + refusal_time,
                  [this, router, query, &kind, id, how]
                  {
+                     m_pools[router].on_brittle(
+                         id, m_parameters.brittle_of(m_now - start), m_now);
                      if (how.closed_for)
                      {
                          m_closed[{router, std::stoul(id.get())}].push_back(
@@ -624,13 +740,22 @@
         pool.on_begin(id, query, m_now);
         schedule(
             m_now + m_parameters.first_event,
-            [this, &pool, id, server, sent_at = m_now]
+            [this, &pool, id, server, sent_at = m_now, born = m_starts[server]]
             {
+                if (born != m_starts[server])
+                {
+                    return;
+                }
                 pool.on_accepted(id, m_now);
+                pool.on_brittle(
+                    id, m_parameters.brittle_of(m_now - start), m_now);
                 if (m_parameters.has_reports)
                 {
-                    pool.on_load(
-                        id, {m_running[server], 0, m_parameters.slots}, m_now);
+                    const std::uint32_t slots = m_parameters.slots;
+                    const auto running = std::min(m_running[server], slots);
+                    pool.on_load(id,
+                                 {running, m_running[server] - running, slots},
+                                 m_now);
                 }
                 pool.on_limit(id,
                               m_parameters.limit_of(server, m_now - start),
@@ -639,10 +764,14 @@
             });
         schedule(m_now + m_parameters.first_event +
                      from_seconds(duration_s(server, kind)),
-                 [this, &pool, id, server]
+                 [this, &pool, id, server, born = m_starts[server]]
                  {
-                     --m_running[server];
-                     pool.on_end(id, attempt_outcome::answered, m_now);
+                     const bool has_fallen = born != m_starts[server];
+                     m_running[server] -= has_fallen ? 0 : 1;
+                     pool.on_end(id,
+                                 has_fallen ? attempt_outcome::broken
+                                            : attempt_outcome::answered,
+                                 m_now);
                  });
     }
 
@@ -656,6 +785,7 @@
         const double mean =
             static_cast<double>(total) / static_cast<double>(m_running.size());
         const bool is_overloaded = m_running[server] > 2 * mean + 3;
+        m_mean_running.emplace_back(m_now, mean);
         ++m_arrived;
         m_overloaded += is_overloaded ? 1 : 0;
         m_uncached += m_cached.insert({server, affinity_part}).second ? 1 : 0;
@@ -693,6 +823,15 @@
         m_closed;
     std::vector<directory::load_exchange> m_replicas;
     std::vector<std::uint32_t> m_running;
+    /// Starts of each server after the first one, when the latest began or
+    /// begins, and when the server refused requests lately.
+    std::vector<std::uint64_t> m_starts;
+    std::vector<time_point> m_down_until;
+    std::vector<std::deque<time_point>> m_turned_away;
+    std::vector<time_point> m_falls;
+    std::vector<std::pair<time_point, double>> m_mean_running;
+    /// When which router had a request accepted.
+    std::vector<std::pair<time_point, std::uint32_t>> m_accepted;
     /// Requests by server, and the times of all and of those without a server.
     std::vector<std::vector<arrival>> m_arrivals;
     std::vector<time_point> m_sent;
