Requests: a cut-off by a brittle server is no evidence against them

While a service says that its servers are brittle, requests that are cut off there are not reported. The test reports without the change.

--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -622,7 +622,9 @@
 
 void request_handler::record_cut_off()
 {
-    if (!m_is_attempt_sound)
+    // A brittle server falls over for the requests that it turns away.
+    if (!m_is_attempt_sound &&
+        !m_state.pool.is_brittle(m_server, monotonic_clock::now()))
     {
         m_state.quarantine->on_cut_off({m_server_start_key, m_quarantine_keys});
     }
--- a/libs/gateway/test/crashing_prompts_test.cpp
+++ b/libs/gateway/test/crashing_prompts_test.cpp
@@ -101,6 +101,25 @@
     BOOST_TEST(send("acb").starts_with("200"));
 }
 
+BOOST_AUTO_TEST_CASE(request_cut_off_by_a_brittle_server_is_not_reported)
+{
+    set_route(directory::request_kind::stream);
+    const auto crash_as_brittle =
+        [](http::exchange& each) -> boost::asio::awaitable<void>
+    {
+        http::response_head head;
+        head.headers.set("I", each.received().headers.value_or_empty("I"));
+        head.headers.set("Brittle", "2");
+        co_await each.begin_stream(std::move(head));
+        each.cut_off();
+    };
+    add_server(crash_as_brittle);
+    BOOST_TEST(send("abx") == "502 failed");
+    context.run_for(std::chrono::milliseconds(500));
+    BOOST_TEST(reported.empty());
+    BOOST_TEST(state.pool.is_brittle(engine_id("i-0"), monotonic_clock::now()));
+}
+
 BOOST_AUTO_TEST_CASE(
     request_that_was_cut_off_before_its_first_event_is_reported)
 {
--- a/libs/gateway/test/gateway_with_servers.hpp
+++ b/libs/gateway/test/gateway_with_servers.hpp
@@ -84,6 +84,10 @@
                 fields.unreadable.push_back({"Limit", *limit});
             }
         }
+        if (const auto* brittle = head.headers.find("Brittle"))
+        {
+            fields.brittle_refusals = std::stod(*brittle);
+        }
         fields.leaves = head.headers.find("Leaving") != nullptr;
         fields.turns_away = head.status == 503;
         if (const auto* closed = head.headers.find("Closed"))
