Log: values are cut at 1 KiB

What callers saw: nothing yet; found while looking for bytes of callers that are kept. Cause: a log event holds fields that callers choose, such as a request's id of up to 16 KB, and up to 4,096 events wait for a slow reader of the log, meant as about 1 MB. Evidence: event_long_value_is_cut failed before: an event with a value of 15,000 bytes was a line of 15,016. The memory of a process with a slow reader was not measured. Change: longer values are cut and marked, so that 4,096 events take some megabytes.

--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -20,6 +20,9 @@
 
 /// Events kept for a slow reader of the log; about 1 MB of lines.
 constexpr int buffered_events = 4096;
+/// Longer values are cut: callers choose some of them.
+constexpr std::size_t max_value_bytes = 1024;
+constexpr std::string_view cut_mark = "...";
 
 log4cxx::LoggerPtr logger()
 {
@@ -75,6 +78,12 @@
 
 void append_value(std::string& line, std::string_view value)
 {
+    if (value.size() > max_value_bytes + cut_mark.size())
+    {
+        std::string cut(value.substr(0, max_value_bytes));
+        append_value(line, cut.append(cut_mark));
+        return;
+    }
     if (!needs_quotes(value))
     {
         line += value;
