HTTP server: heads count against the memory of requests

What callers saw: a router ended for lack of memory under many heads of many small fields, short of their end or before a body of which one byte came. Cause: the limits bounded one request only. A field of 8 bytes took some 150: a node of Beast's fields and a second copy of two strings, times all connections. The buffers of unparsed bytes, the parts of prompts that a head names, and copies of heads for servers counted nowhere either. Change: request_parser keeps each byte once, in a header_list of one text, and what a request takes counts as a whole: head, unparsed bytes, body, and what the handler keeps (exchange::add_memory). The budget, now limpet::receive_budget, serves large messages that arrive below 16 KiB/s last.

--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -62,7 +62,7 @@
     http::server_limits limits;
     if (settings.memory)
     {
-        limits.total_body_bytes = *settings.memory / body_memory_divisor;
+        limits.total_request_bytes = *settings.memory / body_memory_divisor;
     }
     return limits;
 }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -38,8 +38,8 @@
 /// Time after which an idle connection to a server is closed.
 constexpr duration server_idle_timeout = seconds(4);
 
-/// Fraction of the VM's memory that bodies of callers' requests may take.
-/// Responses may take 40 MiB more; the rest is for the program itself.
+/// Fraction of the VM's memory that callers' requests may take. Responses may
+/// take 40 MiB more; the rest is for the program itself.
 constexpr double body_memory_fraction = 0.375;
 /// Fraction (1/n) of the descriptors for callers' connections. The others are
 /// for connections to servers, replicas and routers.
@@ -50,7 +50,7 @@
 {
     http::server_limits limits;
     limits.body_bytes = 1024;
-    limits.total_body_bytes = 256UL * 1024;
+    limits.total_request_bytes = 256UL * 1024;
     limits.connections = 1000;
     return limits;
 }
@@ -60,7 +60,7 @@
     http::server_limits limits;
     if (settings.memory)
     {
-        limits.total_body_bytes = static_cast<std::size_t>(
+        limits.total_request_bytes = static_cast<std::size_t>(
             static_cast<double>(*settings.memory) * body_memory_fraction);
     }
     if (settings.max_descriptors)
--- a/libs/gateway/src/link_exchange.hpp
+++ b/libs/gateway/src/link_exchange.hpp
@@ -45,6 +45,10 @@
     boost::asio::awaitable<status> end_stream() override;
     void cut_off() override;
     void on_caller_gone(std::function<void()> call) override;
+    bool add_memory(std::size_t /*bytes*/) override
+    {
+        return true;
+    }
 
     /// Allows to send more bytes.
     void add_credit(std::uint32_t bytes);
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -141,6 +141,11 @@
         co_await wait_for_configuration();
         refusal = resolve_route();
     }
+    if (!refusal && !has_memory())
+    {
+        m_last_failure = "other requests take all memory";
+        refusal = refusal_cause::no_room;
+    }
     if (!refusal && is_resumed())
     {
         refusal = co_await find_origin();
@@ -251,7 +256,6 @@
                                                              : m_call.id;
     m_query.service =
         directory::pick_service(*m_route, stable_hash(m_stream.get()));
-    m_query.parts = m_call.parts;
     // Independent of the hash that picks the service.
     constexpr std::uint64_t version_draw_seed = 1;
     m_query.draw = stable_hash(m_stream.get(), version_draw_seed);
@@ -259,6 +263,7 @@
     const auto shared = shared_part_keys(m_query.service, m_call.parts);
     m_quarantine_keys.insert(
         m_quarantine_keys.end(), shared.begin(), shared.end());
+    m_query.parts = std::move(m_call.parts);
     m_query.prompt_tokens = m_call.prompt_tokens;
     m_query.is_resumable =
         m_route->kind == directory::request_kind::resumable_stream;
@@ -266,6 +271,15 @@
     return std::nullopt;
 }
 
+bool request_handler::has_memory()
+{
+    // The head is copied for the server.
+    return m_exchange.add_memory(
+        m_exchange.received().headers.memory_bytes() +
+        m_query.parts.capacity() * sizeof(prompt_part) +
+        m_quarantine_keys.capacity() * sizeof(quarantine::part_key));
+}
+
 bool request_handler::can_end_before_shutdown() const
 {
     // A request that is cut off and may not run twice cannot be sent again, so
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -94,6 +94,8 @@
     boost::asio::awaitable<void> wait_for_configuration();
     bool is_in_startup_period() const;
     std::optional<refusal_cause> resolve_route();
+    /// Returns whether there is memory for what is kept beside the request.
+    bool has_memory();
     /// Finds out which version began the stream that the caller resumes.
     boost::asio::awaitable<std::optional<refusal_cause>> find_origin();
     /// Records that the last attempt's server begins the stream.
--- a/libs/http/include/limpet/http/server.hpp
+++ b/libs/http/include/limpet/http/server.hpp
@@ -25,8 +25,9 @@
 {
     std::size_t header_bytes = 16UL * 1024;
     std::size_t body_bytes = 4UL * 1024 * 1024;
-    /// All bodies that are kept at one time.
-    std::size_t total_body_bytes = 256UL * 1024 * 1024;
+    /// All requests that are kept at one time, heads and bodies. Those of a few
+    /// kilobytes are part of what a connection takes and do not count.
+    std::size_t total_request_bytes = 256UL * 1024 * 1024;
     std::size_t connections = 10000;
     /// Time for the head of a request to arrive.
     duration head_timeout = seconds(10);
@@ -69,6 +70,10 @@
     /// answer's end, also if only the caller's sending side: the two cannot be
     /// told apart. Null removes it.
     virtual void on_caller_gone(std::function<void()> call) = 0;
+
+    /// Counts so many bytes that the handler keeps for the request, besides the
+    /// request itself. Returns false if there is no room for them.
+    virtual bool add_memory(std::size_t bytes) = 0;
 };
 
 /// Accepts connections and hands each request to the handler.
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -26,7 +26,7 @@
 std::string head_of(const request& message, const tcp::endpoint& server)
 {
     std::string text = request_text(message);
-    if (message.headers.find("Host") == nullptr)
+    if (!message.headers.find("Host"))
     {
         append_field(text, "Host", http::to_string(server));
     }
@@ -124,6 +124,7 @@
                                              send_canceller* canceller) override
     {
         const std::string head = head_of(message, server);
+        message.headers = {};
         const bool head_only = message.method == "HEAD";
         const auto executor = co_await boost::asio::this_coro::executor;
         cancel_scope scope(canceller);
--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -1,13 +1,12 @@
 #include "connection.hpp"
 
-#include "framing.hpp"
 #include "head_text.hpp"
-#include "text_body.hpp"
+#include "request_parser.hpp"
 
 #include <limpet/base/log.hpp>
 
 #include <boost/asio/post.hpp>
-#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <exception>
 
@@ -23,10 +22,10 @@
 /// Most bytes taken from a caller that still sends after a refusal.
 constexpr std::size_t linger_bytes = 16UL * 1024 * 1024;
 constexpr duration linger_timeout = seconds(2);
-constexpr std::string_view no_body_memory =
-    "the bodies of other requests take all memory";
-
-using request_parser = boost::beast::http::request_parser<text_body>;
+/// Memory of a request that is part of what each connection takes: one read and
+/// a head of usual size.
+constexpr std::size_t uncounted_bytes = 5UL * 1024;
+constexpr std::string_view no_memory = "other requests take all memory";
 
 boost::asio::const_buffer to_buffer(std::string_view bytes)
 {
@@ -60,45 +59,6 @@
     }
 }
 
-bool expects_continue(const request_parser& parser)
-{
-    const auto field = parser.get().find(boost::beast::http::field::expect);
-    return field != parser.get().end() &&
-           boost::beast::iequals(field->value(), "100-continue");
-}
-
-/// Returns the status that refuses a request whose end would not be certain to
-/// all that read it, or 0. The parser ends a request with another coding than
-/// chunked after its head, so that its body would be read as a request.
-unsigned framing_status(const request_parser& parser)
-{
-    constexpr unsigned version_with_codings = 11;
-    const auto& message = parser.get();
-    const transfer_coding coding = transfer_coding_of(message);
-    if (coding == transfer_coding::undelimited ||
-        (coding != transfer_coding::none &&
-         message.version() < version_with_codings))
-    {
-        return 400;
-    }
-    const bool is_tunnel =
-        message.method() == boost::beast::http::verb::connect;
-    return is_tunnel || coding == transfer_coding::unsupported ? 501 : 0;
-}
-
-/// Returns the request without its body.
-request to_request(const request_parser& parser)
-{
-    const auto& message = parser.get();
-    request result;
-    const auto method = message.method_string();
-    const auto target = message.target();
-    result.method.assign(method.data(), method.size());
-    result.target.assign(target.data(), target.size());
-    result.headers = to_header_list(message);
-    return result;
-}
-
 } // namespace
 
 connection::connection(boost::asio::ip::tcp::socket socket,
@@ -112,7 +72,7 @@
 
 connection::~connection()
 {
-    release_body();
+    drop_request();
     m_core->remove(this);
 }
 
@@ -126,11 +86,14 @@
         m_is_receiving = false;
         if (failure)
         {
-            release_body();
+            drop_request();
             co_await refuse(*failure);
             break;
         }
-        release_spare_memory();
+        if (m_buffer.size() == 0)
+        {
+            m_buffer.shrink_to_fit();
+        }
         co_await handle();
         if (m_answer != answer_state::complete || !m_keep_alive ||
             m_core->winding_down)
@@ -212,6 +175,7 @@
     m_answer = answer_state::none;
     if (m_buffer.size() == 0)
     {
+        release_spare_memory();
         if (m_core->stopping)
         {
             co_return false;
@@ -253,13 +217,11 @@
         if (!has_head && parser.is_header_done())
         {
             has_head = true;
-            const unsigned status = framing_status(parser);
+            const unsigned status = parser.framing_status();
             if (status != 0)
             {
                 co_return receive_failure{status, reason_of(status)};
             }
-            // Before the parser adds the fields of a trailer.
-            m_request = to_request(parser);
             parser.eager(true);
             const duration used_up = monotonic_clock::now() - begun;
             m_deadline->cancels_after(limits.receive_timeout - used_up);
@@ -268,23 +230,29 @@
                 continue;
             }
         }
-        if (m_is_evicted || !keep_body(parser.get().body().capacity()))
+        release_spare_memory();
+        if (!parser.is_done())
+        {
+            if (m_buffer.size() + read_bytes > m_buffer.max_size())
+            {
+                co_return receive_failure{431, reason_of(431)};
+            }
+            // Lets the buffer grow now, so that it counts with its new size.
+            m_buffer.prepare(read_bytes);
+        }
+        if (m_is_evicted || !keep_memory(parser.memory_bytes()))
         {
-            co_return receive_failure{503, no_body_memory};
+            co_return receive_failure{503, no_memory};
         }
         if (parser.is_done())
         {
             break;
         }
-        if (!continued && parser.is_header_done() && expects_continue(parser))
+        if (!continued && parser.is_header_done() && parser.expects_continue())
         {
             continued = true;
             co_await send_continue();
         }
-        if (m_buffer.size() + read_bytes > m_buffer.max_size())
-        {
-            co_return receive_failure{431, reason_of(431)};
-        }
         failure = co_await read_more(m_socket, m_buffer, read_bytes);
         if (failure)
         {
@@ -292,11 +260,12 @@
         }
     }
     m_deadline->expires_never();
-    m_keep_alive = parser.get().keep_alive();
-    m_chunked = parser.get().version() >= 11;
-    m_head_only = parser.get().method() == boost::beast::http::verb::head;
-    m_request.body = std::move(parser.get().body());
-    m_core->complete_body(this);
+    m_keep_alive = parser.keep_alive();
+    m_chunked = parser.version() >= 11;
+    m_request_bytes = parser.memory_bytes();
+    m_request = parser.take();
+    m_head_only = m_request.method == "HEAD";
+    m_core->complete_request(this);
     co_return std::nullopt;
 }
 
@@ -304,7 +273,7 @@
 {
     if (m_is_evicted)
     {
-        return {503, no_body_memory};
+        return {503, no_memory};
     }
     if (m_deadline->has_cancelled())
     {
@@ -345,8 +314,7 @@
         co_await respond(std::move(answer));
     }
     --m_core->open_requests;
-    m_request = {};
-    release_body();
+    drop_request();
 }
 
 boost::asio::awaitable<void> connection::refuse(receive_failure failure)
@@ -373,6 +341,7 @@
     {
         taken += m_buffer.size();
         m_buffer.clear();
+        release_spare_memory();
         failure = co_await read_more(m_socket, m_buffer, read_bytes);
     }
 }
@@ -530,29 +499,39 @@
     }
 }
 
-bool connection::keep_body(std::size_t bytes)
+bool connection::add_memory(std::size_t bytes)
+{
+    const bool has_room = keep_memory(m_request_bytes + bytes);
+    m_request_bytes += has_room ? bytes : 0;
+    return has_room;
+}
+
+/// Records that the request takes so many bytes besides those that are not
+/// parsed yet. Returns false if there is no room for them.
+bool connection::keep_memory(std::size_t request_bytes)
 {
-    // What a string holds within itself is part of the connection.
-    static const std::size_t free_bytes = std::string().capacity();
-    if (bytes <= free_bytes)
+    const std::size_t bytes = request_bytes + m_buffer.capacity();
+    if (bytes <= uncounted_bytes && !m_has_memory)
     {
         return true;
     }
-    m_has_body = true;
-    return m_core->resize_body(this, bytes);
+    m_has_memory = true;
+    return m_core->resize_request(this, bytes);
 }
 
-void connection::release_body()
+void connection::drop_request()
 {
-    if (std::exchange(m_has_body, false))
+    m_request = {};
+    m_request_bytes = 0;
+    if (std::exchange(m_has_memory, false))
     {
-        m_core->release_body(this);
+        m_core->release_request(this);
     }
 }
 
 void connection::release_spare_memory()
 {
-    if (m_buffer.size() == 0)
+    if (m_buffer.size() == 0 && m_buffer.capacity() > read_bytes)
     {
         m_buffer.shrink_to_fit();
     }
@@ -604,8 +583,14 @@
     {
         return;
     }
-    boost::system::error_code failure;
     const auto space = m_buffer.prepare(read_bytes);
+    if (!keep_memory(m_request_bytes))
+    {
+        // The bytes stay in the socket.
+        m_buffer.shrink_to_fit();
+        return;
+    }
+    boost::system::error_code failure;
     m_buffer.commit(m_socket.read_some(space, failure));
     watch_caller();
 }
--- a/libs/http/src/connection.hpp
+++ b/libs/http/src/connection.hpp
@@ -59,6 +59,7 @@
     boost::asio::awaitable<status> end_stream() override;
     void cut_off() override;
     void on_caller_gone(std::function<void()> call) override;
+    bool add_memory(std::size_t bytes) override;
 
 private:
     enum class answer_state
@@ -88,8 +89,8 @@
     status state_error(std::string_view reason) const;
     std::string head_of(const response& answer) const;
     void append_connection_field(std::string& text) const;
-    bool keep_body(std::size_t bytes);
-    void release_body();
+    bool keep_memory(std::size_t request_bytes);
+    void drop_request();
     void release_spare_memory();
     void watch_caller();
     void on_readable();
@@ -101,13 +102,15 @@
     std::shared_ptr<deadline> m_deadline;
     boost::beast::flat_buffer m_buffer;
     request m_request;
+    /// Memory that m_request takes, and what the handler keeps for it.
+    std::size_t m_request_bytes = 0;
     std::function<void()> m_on_gone;
     answer_state m_answer = answer_state::none;
-    /// Whether the server's budget holds the body of the request.
-    bool m_has_body = false;
+    /// Whether the server's budget holds the request.
+    bool m_has_memory = false;
     bool m_idle = true;
     bool m_is_receiving = false;
-    /// Whether the request's body has to yield its memory.
+    /// Whether the request has to yield its memory.
     bool m_is_evicted = false;
     bool m_keep_alive = true;
     bool m_chunked = true;
--- a/libs/http/src/framing.cpp
+++ b/libs/http/src/framing.cpp
@@ -27,16 +27,27 @@
 {
     const auto [begin, end] =
         fields.equal_range(boost::beast::http::field::transfer_encoding);
-    if (begin == end)
+    std::vector<std::string_view> values;
+    for (auto field = begin; field != end; ++field)
+    {
+        const auto value = field->value();
+        values.emplace_back(value.data(), value.size());
+    }
+    return transfer_coding_of(values);
+}
+
+transfer_coding transfer_coding_of(const std::vector<std::string_view>& values)
+{
+    if (values.empty())
     {
         return transfer_coding::none;
     }
     std::vector<std::string_view> codings;
-    for (auto field = begin; field != end; ++field)
+    for (const std::string_view value : values)
     {
         // Codings with parameters are not valid in this list, and none of
         // them is supported.
-        const opt_token_list list(field->value());
+        const opt_token_list list(value);
         if (!validate_list(list))
         {
             return transfer_coding::undelimited;
--- a/libs/http/src/framing.hpp
+++ b/libs/http/src/framing.hpp
@@ -6,6 +6,9 @@
 
 #include <boost/beast/http/fields.hpp>
 
+#include <string_view>
+#include <vector>
+
 namespace limpet::http
 {
 
@@ -19,6 +22,8 @@
     undelimited, ///< The end of the body cannot be told.
 };
 
+/// Takes the values of the fields, in their order.
+transfer_coding transfer_coding_of(const std::vector<std::string_view>& values);
 transfer_coding transfer_coding_of(const boost::beast::http::fields& fields);
 
 } // namespace limpet::http
--- a/libs/http/src/head_text.cpp
+++ b/libs/http/src/head_text.cpp
@@ -51,7 +51,7 @@
 
 void append_fields(std::string& text, const header_list& headers)
 {
-    for (const header& item : headers.items())
+    for (const header item : headers)
     {
         if (!is_hop_field(item.name))
         {
--- a/libs/http/src/server_core.cpp
+++ b/libs/http/src/server_core.cpp
@@ -27,7 +27,7 @@
     : handle(std::move(handler)),
       m_refuse(std::move(refuse)),
       m_limits(bounds),
-      m_bodies(bounds.total_body_bytes)
+      m_requests(bounds.total_request_bytes)
 {
 }
 
@@ -47,10 +47,10 @@
 {
     const std::lock_guard lock(m_mutex);
     const std::size_t connections_before = m_limits.connections;
-    const std::size_t bodies_before = m_limits.total_body_bytes;
+    const std::size_t bytes_before = m_limits.total_request_bytes;
     m_limits = limits;
     m_limits.connections = connections_before;
-    m_limits.total_body_bytes = bodies_before;
+    m_limits.total_request_bytes = bytes_before;
 }
 
 bool server_core::add(const std::shared_ptr<connection>& item)
@@ -98,16 +98,17 @@
     }
 }
 
-bool server_core::resize_body(const connection* item, std::size_t bytes)
+bool server_core::resize_request(receive_budget::message_key item,
+                                 std::size_t bytes)
 {
-    std::vector<body_budget::body_key> evicted;
+    std::vector<receive_budget::message_key> evicted;
     bool has_room = false;
     {
-        const std::lock_guard lock(m_body_mutex);
+        const std::lock_guard lock(m_request_mutex);
         has_room =
-            m_bodies.resize(item, bytes, monotonic_clock::now(), evicted);
+            m_requests.resize(item, bytes, monotonic_clock::now(), evicted);
     }
-    for (const body_budget::body_key each : evicted)
+    for (const receive_budget::message_key each : evicted)
     {
         end_receiving(static_cast<const connection*>(each));
     }
@@ -128,16 +129,16 @@
     }
 }
 
-void server_core::complete_body(const connection* item)
+void server_core::complete_request(receive_budget::message_key item)
 {
-    const std::lock_guard lock(m_body_mutex);
-    m_bodies.set_complete(item);
+    const std::lock_guard lock(m_request_mutex);
+    m_requests.set_complete(item);
 }
 
-void server_core::release_body(const connection* item)
+void server_core::release_request(receive_budget::message_key item)
 {
-    const std::lock_guard lock(m_body_mutex);
-    m_bodies.release(item);
+    const std::lock_guard lock(m_request_mutex);
+    m_requests.release(item);
 }
 
 bool server_core::begin_refusal()
--- a/libs/http/src/server_core.hpp
+++ b/libs/http/src/server_core.hpp
@@ -3,8 +3,7 @@
 
 #pragma once
 
-#include "body_budget.hpp"
-
+#include <limpet/base/receive_budget.hpp>
 #include <limpet/http/server.hpp>
 
 #include <atomic>
@@ -44,12 +43,12 @@
     /// Closes all connections.
     void close_all();
 
-    /// Sets the room that the connection's body takes, if there is so much.
-    /// Other connections whose bodies have stopped arriving may be ended.
-    bool resize_body(const connection* item, std::size_t bytes);
-    /// Records that the connection's body has arrived.
-    void complete_body(const connection* item);
-    void release_body(const connection* item);
+    /// Sets the room that the connection's request takes, if there is so much.
+    /// Other connections whose requests have stopped arriving may be ended.
+    bool resize_request(receive_budget::message_key item, std::size_t bytes);
+    /// Records that the connection's request has arrived.
+    void complete_request(receive_budget::message_key item);
+    void release_request(receive_budget::message_key item);
 
     /// Takes one of the few places for connections that are refused with an
     /// answer.
@@ -72,8 +71,8 @@
 
     const server::refusal m_refuse;
     server_limits m_limits;
-    std::mutex m_body_mutex;
-    body_budget m_bodies;
+    std::mutex m_request_mutex;
+    receive_budget m_requests;
     std::atomic<std::size_t> m_refusals = 0;
     mutable std::mutex m_mutex;
     std::unordered_map<const connection*, std::weak_ptr<connection>> m_open;
--- a/libs/http/src/text_body.hpp
+++ b/libs/http/src/text_body.hpp
@@ -3,11 +3,12 @@
 
 #pragma once
 
+#include <limpet/base/text_growth.hpp>
+
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/optional.hpp>
 
-#include <algorithm>
 #include <cstdint>
 #include <string>
 
@@ -43,9 +44,9 @@
             std::size_t count = 0;
             for (auto part : boost::beast::buffers_range_ref(buffers))
             {
-                reserve(m_body.size() + part.size());
-                m_body.append(static_cast<const char*>(part.data()),
-                              part.size());
+                append_tightly(
+                    m_body,
+                    {static_cast<const char*>(part.data()), part.size()});
                 count += part.size();
             }
             return count;
@@ -57,20 +58,6 @@
         }
 
     private:
-        /// Lets the string grow by a quarter, and not to twice its size, so
-        /// that bodies take little more memory than they have bytes.
-        void reserve(std::size_t size)
-        {
-            if (size > m_body.capacity())
-            {
-                // The string's own functions would at least double it.
-                std::string larger;
-                larger.reserve(std::max(size, m_body.capacity() * 5 / 4));
-                larger.append(m_body);
-                m_body.swap(larger);
-            }
-        }
-
         value_type& m_body;
     };
 };
--- a/libs/pipeline/src/exchange_codec.cpp
+++ b/libs/pipeline/src/exchange_codec.cpp
@@ -29,11 +29,12 @@
                                  const http::header_list& headers)
 {
     std::vector<Offset<fbs::field>> fields;
-    fields.reserve(headers.items().size());
-    for (const http::header& item : headers.items())
+    fields.reserve(headers.size());
+    for (const http::header item : headers)
     {
-        fields.push_back(fbs::CreatefieldDirect(
-            builder, item.name.c_str(), item.value.c_str()));
+        fields.push_back(fbs::Createfield(builder,
+                                          builder.CreateString(item.name),
+                                          builder.CreateString(item.value)));
     }
     return builder.CreateVector(fields);
 }
--- a/libs/pipeline/src/filters.cpp
+++ b/libs/pipeline/src/filters.cpp
@@ -59,8 +59,8 @@
 filter_result
 read_id(const http::header_list& fields, std::string_view name, std::string& id)
 {
-    const std::string* value = fields.find(name);
-    if (value == nullptr || value->empty())
+    const auto value = fields.find(name);
+    if (!value || value->empty())
     {
         return {};
     }
@@ -76,9 +76,8 @@
 
 filter_result read_last_event_id(request_context& context)
 {
-    const std::string* text =
-        context.forwarded.headers.find(headers::last_event_id);
-    if (text == nullptr)
+    const auto text = context.forwarded.headers.find(headers::last_event_id);
+    if (!text)
     {
         return {};
     }
--- a/libs/pipeline/src/served_exchange.cpp
+++ b/libs/pipeline/src/served_exchange.cpp
@@ -230,17 +230,16 @@
 status served_exchange::check_id(const dispatch_target& target,
                                  const http::response_head& head) const
 {
-    const std::string* echoed = head.headers.find(headers::request);
-    const bool mismatched =
-        echoed != nullptr && *echoed != m_open.request.get();
-    const bool missing = echoed == nullptr && target.must_echo_request;
+    const auto echoed = head.headers.find(headers::request);
+    const bool mismatched = echoed && *echoed != m_open.request.get();
+    const bool missing = !echoed && target.must_echo_request;
     if (mismatched || missing)
     {
         log_event(log_level::warn,
                   "answer.dropped",
                   {{"engine", m_open.engine.get()},
                    {"request", m_open.request.get()},
-                   {"answered", echoed == nullptr ? "" : *echoed}});
+                   {"answered", echoed.value_or("")}});
         return error{
             error_code::malformed,
             "engine's response has no request id or that of another request"};
--- a/libs/pipeline/test/attempt_test.cpp
+++ b/libs/pipeline/test/attempt_test.cpp
@@ -57,6 +57,11 @@
 
     void on_caller_gone(std::function<void()>) override {}
 
+    bool add_memory(std::size_t /*bytes*/) override
+    {
+        return true;
+    }
+
     std::string text;
     bool has_ended = false;
 
