HTTP server: connections without use give up their places

What callers saw: 503, or no answer, while a crowd held all connections that a router may have: by doing nothing, by coming back before the idle timeout, or by sending heads and bodies byte by byte. Cause: a place was given back only at a timeout, which a crowd can begin again for ever. Replicas and the metrics port had no bound below 10,000 connections, more than their descriptors. Change: with all places taken, the connection ends that has been of no use longest: it waits for a request, receives one below 8 KiB/s after 250 ms or nothing for 0.5 s, or its answer is not read for 2 s (connection_places, no I/O). One that waits is answered 408 before it closes and what comes is taken for up to 2 s, so that a request on its way gets a promise and is not lost; one whose bytes have arrived is served. A quarter of the places may be ending at a time. Callers' connections are bounded by an eighth of memory_mb too (8 KiB each; 2,560 at 160 MB), replicas take max_descriptors, the readiness and metrics ports a few. server_beyond_connection_limit_refuses has a connection that is served, as one that waits is no reason to refuse any more; it expects 503 as before.

--- a/libs/control/include/limpet/control/control_settings.hpp
+++ b/libs/control/include/limpet/control/control_settings.hpp
@@ -64,6 +64,9 @@
     /// Memory of the VM in bytes. Without it, bodies may take as much as the
     /// HTTP server's defaults allow.
     std::optional<std::uint64_t> memory;
+    /// Descriptors that the process may have. Without it, the numbers of
+    /// connections are the defaults of HTTP server and links.
+    std::optional<std::uint64_t> max_descriptors;
     /// Folder for the log and snapshots.
     std::string data_folder;
     log_level log = log_level::info;
--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -56,6 +56,9 @@
 /// Fraction (1/n) of the VM's memory for bodies of operators' requests. A
 /// document takes several times its size while it is read.
 constexpr std::uint64_t body_memory_divisor = 8;
+/// Fraction (1/n) of the descriptors for operators and backend servers. The
+/// others are for peers and files.
+constexpr std::uint64_t operator_descriptors_divisor = 3;
 
 http::server_limits operator_limits(const control_settings& settings)
 {
@@ -64,6 +67,11 @@
     {
         limits.total_request_bytes = *settings.memory / body_memory_divisor;
     }
+    if (settings.max_descriptors)
+    {
+        limits.connections =
+            *settings.max_descriptors / operator_descriptors_divisor;
+    }
     return limits;
 }
 
--- a/libs/control/src/control_settings.cpp
+++ b/libs/control/src/control_settings.cpp
@@ -12,6 +12,7 @@
 constexpr duration max_drain = std::chrono::hours(1);
 constexpr std::uint64_t max_memory_mb = 1024UL * 1024;
 constexpr std::uint64_t bytes_per_mb = 1024UL * 1024;
+constexpr std::uint64_t max_max_descriptors = 1024UL * 1024;
 constexpr std::uint64_t max_tolerated_losses = 10;
 
 boost::asio::ip::tcp::endpoint read_endpoint(settings_reader& reader,
@@ -124,6 +125,11 @@
         settings.memory =
             reader.number_or("memory_mb", 0, 1, max_memory_mb) * bytes_per_mb;
     }
+    if (reader.has("max_descriptors"))
+    {
+        settings.max_descriptors =
+            reader.number_or("max_descriptors", 0, 16, max_max_descriptors);
+    }
     settings.data_folder = reader.text("data_folder");
     const auto level = parse_log_level(reader.text_or("log_level", "info"));
     if (is_ok(level))
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -39,19 +39,32 @@
 constexpr duration server_idle_timeout = seconds(4);
 
 /// Fraction of the VM's memory that callers' requests may take. Responses may
-/// take 40 MiB more; the rest is for the program itself.
-constexpr double body_memory_fraction = 0.375;
-/// Fraction (1/n) of the descriptors for callers' connections. The others are
-/// for connections to servers, replicas and routers.
+/// take 40 MiB more; the rest is for connections and the program itself.
+constexpr double request_memory_fraction = 0.375;
+/// Fraction (1/n) of the VM's memory for callers' connections, each of which
+/// takes about so many bytes besides what counts of its request.
+constexpr std::uint64_t connection_memory_divisor = 8;
+constexpr std::uint64_t connection_bytes = 8UL * 1024;
+/// Fractions (1/n) of the descriptors for callers' connections and for those of
+/// readiness probes. The others are for connections to servers, replicas and
+/// routers.
 constexpr std::size_t caller_descriptors_divisor = 2;
+constexpr std::size_t probe_descriptors_divisor = 16;
 
 /// Limits of a listener that gets requests without bodies from one peer.
-http::server_limits probe_limits()
+http::server_limits probe_limits(const gateway_settings& settings)
 {
+    constexpr std::size_t most_connections = 1000;
     http::server_limits limits;
     limits.body_bytes = 1024;
     limits.total_request_bytes = 256UL * 1024;
-    limits.connections = 1000;
+    limits.connections = most_connections;
+    if (settings.max_descriptors)
+    {
+        limits.connections = std::min<std::size_t>(
+            most_connections,
+            *settings.max_descriptors / probe_descriptors_divisor);
+    }
     return limits;
 }
 
@@ -61,13 +74,19 @@
     if (settings.memory)
     {
         limits.total_request_bytes = static_cast<std::size_t>(
-            static_cast<double>(*settings.memory) * body_memory_fraction);
+            static_cast<double>(*settings.memory) * request_memory_fraction);
     }
     if (settings.max_descriptors)
     {
         limits.connections =
             *settings.max_descriptors / caller_descriptors_divisor;
     }
+    if (settings.memory)
+    {
+        limits.connections = std::min<std::size_t>(
+            limits.connections,
+            *settings.memory / connection_memory_divisor / connection_bytes);
+    }
     return limits;
 }
 
@@ -447,7 +466,7 @@
     {
         auto opened = http::server::listen(m_context,
                                            m_settings.readiness,
-                                           probe_limits(),
+                                           probe_limits(m_settings),
                                            [this](http::exchange& caller)
                                            {
                                                return answer_readiness(caller);
--- a/libs/http/include/limpet/http/server.hpp
+++ b/libs/http/include/limpet/http/server.hpp
@@ -28,6 +28,8 @@
     /// All requests that are kept at one time, heads and bodies. Those of a few
     /// kilobytes are part of what a connection takes and do not count.
     std::size_t total_request_bytes = 256UL * 1024 * 1024;
+    /// If there are as many, a connection without a request ends for the sake
+    /// of a new one, or one whose caller is too slow.
     std::size_t connections = 10000;
     /// Time for the head of a request to arrive.
     duration head_timeout = seconds(10);
--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -26,6 +26,7 @@
 /// a head of usual size.
 constexpr std::size_t uncounted_bytes = 5UL * 1024;
 constexpr std::string_view no_memory = "other requests take all memory";
+constexpr std::string_view no_place = "other requests need the connection";
 
 boost::asio::const_buffer to_buffer(std::string_view bytes)
 {
@@ -101,6 +102,12 @@
             break;
         }
     }
+    if (m_gives_up_place && m_answer == answer_state::none)
+    {
+        // Answers a request that may be on its way.
+        const receive_failure failure{408, no_place};
+        co_await refuse(failure);
+    }
     if (m_answer == answer_state::complete)
     {
         co_await close_after_answer();
@@ -120,6 +127,7 @@
 
 void connection::post_close()
 {
+    m_activity.set_closed();
     boost::asio::post(m_socket.get_executor(),
                       [self = shared_from_this()]
                       {
@@ -141,6 +149,44 @@
                       });
 }
 
+void connection::post_give_up_place()
+{
+    m_activity.set_yielding(true);
+    boost::asio::post(m_socket.get_executor(),
+                      [self = shared_from_this()]
+                      {
+                          self->give_up_place();
+                      });
+}
+
+void connection::give_up_place()
+{
+    boost::system::error_code ignored;
+    switch (m_activity.now().phase)
+    {
+    case connection_phase::waiting:
+        if (m_idle && peek(m_socket) != peek_result::data)
+        {
+            m_gives_up_place = true;
+            m_socket.cancel(ignored);
+            return;
+        }
+        break;
+    case connection_phase::receiving:
+        m_gives_up_place = true;
+        m_socket.cancel(ignored);
+        return;
+    case connection_phase::writing:
+        caller_gone();
+        return;
+    case connection_phase::handling:
+    case connection_phase::closing:
+        break;
+    }
+    // It has gone on meanwhile.
+    m_activity.set_yielding(false);
+}
+
 void connection::post_close_if_idle()
 {
     boost::asio::post(m_socket.get_executor(),
@@ -173,6 +219,7 @@
 {
     m_idle = true;
     m_answer = answer_state::none;
+    m_activity.begin(connection_phase::waiting);
     if (m_buffer.size() == 0)
     {
         release_spare_memory();
@@ -189,6 +236,7 @@
         }
     }
     m_idle = false;
+    m_gives_up_place = false;
     co_return true;
 }
 
@@ -198,6 +246,7 @@
     const server_limits limits = m_core->limits();
     const time_point begun = monotonic_clock::now();
     m_deadline->cancels_after(limits.head_timeout);
+    m_activity.begin(connection_phase::receiving);
     m_buffer.max_size(limits.header_bytes + early_bytes);
     request_parser parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
@@ -209,6 +258,7 @@
         boost::system::error_code failure;
         const std::size_t used = parser.put(m_buffer.data(), failure);
         m_buffer.consume(used);
+        m_activity.add_progress(used);
         if (failure && failure != boost::beast::http::error::need_more)
         {
             const unsigned status = status_of(failure);
@@ -275,6 +325,10 @@
     {
         return {503, no_memory};
     }
+    if (m_gives_up_place)
+    {
+        return {503, no_place};
+    }
     if (m_deadline->has_cancelled())
     {
         return {408, reason_of(408)};
@@ -295,6 +349,7 @@
 boost::asio::awaitable<void> connection::handle()
 {
     ++m_core->open_requests;
+    m_activity.begin(connection_phase::handling);
     m_gone = false;
     try
     {
@@ -333,6 +388,7 @@
 {
     // Closing while bytes of the caller are unread would reset the
     // connection, which can destroy the answer on its way.
+    m_activity.begin(connection_phase::closing);
     boost::system::error_code failure;
     m_socket.shutdown(boost::asio::socket_base::shutdown_send, failure);
     m_deadline->expires_after(linger_timeout);
@@ -462,8 +518,17 @@
     {
         co_return error{error_code::cancelled, "the caller has gone"};
     }
-    const write_result result = co_await write_all(
-        m_socket, *m_deadline, m_core->limits().write_timeout, parts);
+    m_activity.begin(connection_phase::writing);
+    const write_result result =
+        co_await write_all(m_socket,
+                           *m_deadline,
+                           m_core->limits().write_timeout,
+                           parts,
+                           [this](std::size_t count)
+                           {
+                               m_activity.add_progress(count);
+                           });
+    m_activity.begin(connection_phase::handling);
     if (!result.failure)
     {
         co_return success();
--- a/libs/http/src/connection.hpp
+++ b/libs/http/src/connection.hpp
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "connection_places.hpp"
 #include "deadline.hpp"
 #include "server_core.hpp"
 #include "transfer.hpp"
@@ -52,6 +53,16 @@
     /// Closes the socket unless a request has begun. Thread-safe.
     void post_close_if_idle();
 
+    /// Refuses the request that is being received, or that may be on its way,
+    /// and ends the connection, as others need its place. Thread-safe.
+    void post_give_up_place();
+
+    /// Returns what the connection is occupied with. Thread-safe.
+    connection_activity activity() const
+    {
+        return m_activity.now();
+    }
+
     const request& received() const override;
     boost::asio::awaitable<status> respond(response answer) override;
     boost::asio::awaitable<status> begin_stream(response_head head) override;
@@ -91,6 +102,7 @@
     void append_connection_field(std::string& text) const;
     bool keep_memory(std::size_t request_bytes);
     void drop_request();
+    void give_up_place();
     void release_spare_memory();
     void watch_caller();
     void on_readable();
@@ -101,6 +113,7 @@
     std::shared_ptr<server_core> m_core;
     std::shared_ptr<deadline> m_deadline;
     boost::beast::flat_buffer m_buffer;
+    activity_monitor m_activity;
     request m_request;
     /// Memory that m_request takes, and what the handler keeps for it.
     std::size_t m_request_bytes = 0;
@@ -112,6 +125,8 @@
     bool m_is_receiving = false;
     /// Whether the request has to yield its memory.
     bool m_is_evicted = false;
+    /// Whether the connection ends as others need its place.
+    bool m_gives_up_place = false;
     bool m_keep_alive = true;
     bool m_chunked = true;
     bool m_head_only = false;
--- a/libs/http/src/server_core.cpp
+++ b/libs/http/src/server_core.cpp
@@ -2,12 +2,17 @@
 
 #include "connection.hpp"
 
+#include <algorithm>
+
 namespace limpet::http
 {
 
 namespace
 {
 
+/// Connections that are refused with an answer at one time: a fraction (1/n) of
+/// those that are served, and no more than that.
+constexpr std::size_t refusals_divisor = 8;
 constexpr std::size_t most_refusals = 64;
 
 response plain_refusal(unsigned status, std::string_view reason)
@@ -27,7 +32,9 @@
     : handle(std::move(handler)),
       m_refuse(std::move(refuse)),
       m_limits(bounds),
-      m_requests(bounds.total_request_bytes)
+      m_requests(bounds.total_request_bytes),
+      m_most_refusals(std::clamp<std::size_t>(
+          bounds.connections / refusals_divisor, 1, most_refusals))
 {
 }
 
@@ -55,8 +62,12 @@
 
 bool server_core::add(const std::shared_ptr<connection>& item)
 {
+    if (connections >= limits().connections && !find_place())
+    {
+        return false;
+    }
     const std::lock_guard lock(m_mutex);
-    if (stopping || m_open.size() >= m_limits.connections)
+    if (stopping)
     {
         return false;
     }
@@ -65,6 +76,30 @@
     return true;
 }
 
+/// Lets another connection give up its place for a new one, if need be. Returns
+/// whether there is a place.
+bool server_core::find_place()
+{
+    const std::vector<std::shared_ptr<connection>> items = all();
+    std::vector<connection_activity> activities;
+    activities.reserve(items.size());
+    for (const auto& item : items)
+    {
+        activities.push_back(item->activity());
+    }
+    const place_decision decision =
+        decide_place(activities, limits().connections, monotonic_clock::now());
+    if (decision.yields)
+    {
+        items[*decision.yields]->post_give_up_place();
+    }
+    if (decision.closes)
+    {
+        items[*decision.closes]->post_close();
+    }
+    return decision.has_place;
+}
+
 void server_core::remove(const connection* item)
 {
     const std::lock_guard lock(m_mutex);
@@ -143,7 +178,7 @@
 
 bool server_core::begin_refusal()
 {
-    if (++m_refusals <= most_refusals)
+    if (++m_refusals <= m_most_refusals)
     {
         return true;
     }
--- a/libs/http/src/server_core.hpp
+++ b/libs/http/src/server_core.hpp
@@ -30,7 +30,8 @@
     /// Makes the answer to a request that the handler does not see.
     response make_refusal(unsigned status, std::string_view reason) const;
 
-    /// Adds a connection unless the limit is reached or the server stops.
+    /// Adds a connection unless the server stops, or the limit is reached and
+    /// no other connection gives up its place.
     bool add(const std::shared_ptr<connection>& item);
     void remove(const connection* item);
 
@@ -67,6 +68,7 @@
 
 private:
     std::vector<std::shared_ptr<connection>> all() const;
+    bool find_place();
     void end_receiving(const connection* item);
 
     const server::refusal m_refuse;
@@ -74,6 +76,7 @@
     std::mutex m_request_mutex;
     receive_budget m_requests;
     std::atomic<std::size_t> m_refusals = 0;
+    const std::size_t m_most_refusals;
     mutable std::mutex m_mutex;
     std::unordered_map<const connection*, std::weak_ptr<connection>> m_open;
 };
--- a/libs/http/src/transfer.cpp
+++ b/libs/http/src/transfer.cpp
@@ -39,7 +39,8 @@
 write_all(boost::asio::ip::tcp::socket& socket,
           deadline& limit,
           duration timeout,
-          write_parts parts)
+          write_parts parts,
+          std::function<void(std::size_t)> on_progress)
 {
     write_result result;
     result.written = socket.write_some(parts, result.failure);
@@ -61,6 +62,10 @@
         result.failure = failure;
         result.written += count;
         consume(parts, count);
+        if (on_progress && count > 0)
+        {
+            on_progress(count);
+        }
     }
     if (waiting)
     {
--- a/libs/http/src/transfer.hpp
+++ b/libs/http/src/transfer.hpp
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <cstddef>
+#include <functional>
 
 namespace limpet::http
 {
@@ -28,12 +29,14 @@
 };
 
 /// Writes all parts. The first attempt is made without waiting, since a
-/// socket nearly always has room; only then the timeout begins.
+/// socket nearly always has room; only then the timeout begins. Calls
+/// on_progress with the number of bytes that the socket has taken.
 boost::asio::awaitable<write_result>
 write_all(boost::asio::ip::tcp::socket& socket,
           deadline& limit,
           duration timeout,
-          write_parts parts);
+          write_parts parts,
+          std::function<void(std::size_t)> on_progress = nullptr);
 
 /// Reads some bytes, at most part bytes, onto the end of the buffer. At the
 /// end of the stream the failure is boost::asio::error::eof.
--- a/libs/http/test/server_test.cpp
+++ b/libs/http/test/server_test.cpp
@@ -450,14 +450,63 @@
 }
 
 BOOST_AUTO_TEST_CASE(server_beyond_connection_limit_refuses)
+{
+    std::promise<void> begun;
+    std::promise<void> may_end;
+    server_limits limits;
+    limits.connections = 1;
+    serve(
+        [&](exchange& call) -> boost::asio::awaitable<void>
+        {
+            begun.set_value();
+            may_end.get_future().wait();
+            response answer;
+            co_await call.respond(std::move(answer));
+        },
+        limits);
+    boost::asio::ip::tcp::socket served(context);
+    served.connect(endpoint);
+    boost::asio::write(served,
+                       boost::asio::buffer("GET / HTTP/1.1\r\n\r\n", 18));
+    begun.get_future().wait();
+    const std::string answer = exchange_raw("");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    may_end.set_value();
+}
+
+BOOST_AUTO_TEST_CASE(server_at_connection_limit_ends_one_without_a_request)
+{
+    server_limits limits;
+    limits.connections = 1;
+    serve(echo, limits);
+    boost::asio::ip::tcp::socket idle(context);
+    idle.connect(endpoint);
+    const std::string answer =
+        exchange_raw("GET /new HTTP/1.1\r\nConnection: close\r\n\r\n");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+    // A request that crosses the end gets an answer that says it has not run.
+    boost::system::error_code ended;
+    boost::asio::write(
+        idle, boost::asio::buffer("GET / HTTP/1.1\r\n\r\n", 18), ended);
+    std::string refusal;
+    boost::asio::read(idle, boost::asio::dynamic_buffer(refusal), ended);
+    BOOST_TEST(refusal.starts_with("HTTP/1.1 408"));
+    BOOST_TEST(refusal.find("Connection: close") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(server_at_connection_limit_ends_a_kept_connection)
 {
     server_limits limits;
     limits.connections = 1;
     serve(echo, limits);
     BOOST_TEST(
         std::holds_alternative<response>(fetch(make_request("GET", "/"))));
-    const std::string answer = exchange_raw("");
-    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    const std::string answer =
+        exchange_raw("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+    // The client finds its connection closed and opens another.
+    BOOST_TEST(
+        std::holds_alternative<response>(fetch(make_request("GET", "/"))));
 }
 
 /// What the handler keeps for a request counts like the request itself.
