Gateway: responses that callers do not read count, and yield

What callers saw: a crowd that asked for large answers and did not read them took a router's memory for up to 30 s each. Cause: a response gave its room back when its body was whole, before it was written to the caller; events that were being written, the response of a handed-over request, and an error response kept for the last attempt did not count. A response without room counted as broken off by its server, so that servers were taken for unreachable. Change: what is kept counts until the caller has taken it. A response of which the caller has taken nothing for 2 s is cut off if another needs its room (exchange::blocked_since). The budget is a fifth of memory_mb (40 MiB without it), of which one server may use half, or as much as the largest response takes. link_exchange writes a response when it is there and keeps none. Attempts without room say nothing about their server.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -38,9 +38,11 @@
 /// Time after which an idle connection to a server is closed.
 constexpr duration server_idle_timeout = seconds(4);
 
-/// Fraction of the VM's memory that callers' requests may take. Responses may
-/// take 40 MiB more; the rest is for connections and the program itself.
+/// Fraction of the VM's memory that callers' requests may take, and a
+/// fraction (1/n) for responses. The links have theirs; the rest is for
+/// connections and the program itself.
 constexpr double request_memory_fraction = 0.375;
+constexpr std::uint64_t response_memory_divisor = 5;
 /// Fraction (1/n) of the VM's memory for callers' connections, each of which
 /// takes about so many bytes besides what counts of its request.
 constexpr std::uint64_t connection_memory_divisor = 8;
@@ -90,6 +92,13 @@
     return limits;
 }
 
+response_buffer_budget make_response_budget(const gateway_settings& settings)
+{
+    return response_buffer_budget(
+        settings.memory ? *settings.memory / response_memory_divisor
+                        : response_buffer_budget::default_bytes);
+}
+
 http::server_limits to_server_limits(const directory::caller_limits& from)
 {
     http::server_limits limits;
@@ -127,7 +136,7 @@
                   monotonic_clock::now(),
                   {},
                   {},
-                  {},
+                  make_response_budget(settings),
                   false,
                   make_origins(),
                   make_quarantine()},
--- a/libs/gateway/src/handover_service.cpp
+++ b/libs/gateway/src/handover_service.cpp
@@ -240,7 +240,7 @@
     const bool is_served = co_await m_callbacks.serve(caller, opened.time_left);
     if (is_served)
     {
-        co_await caller.finish();
+        caller.finish();
     }
     else
     {
--- a/libs/gateway/src/link_exchange.cpp
+++ b/libs/gateway/src/link_exchange.cpp
@@ -36,8 +36,15 @@
 
 net::awaitable<status> link_exchange::respond(http::response answer)
 {
-    m_whole = std::move(answer);
-    co_return success();
+    pipeline::head_message head;
+    head.sequence = m_sequence++;
+    head.head = std::move(answer.head);
+    head.is_whole = true;
+    m_send(std::move(head));
+    status written = co_await write(answer.body);
+    m_result = is_ok(written) ? pipeline::finish_result::complete
+                              : pipeline::finish_result::broken;
+    co_return written;
 }
 
 net::awaitable<status> link_exchange::begin_stream(http::response_head head)
@@ -55,10 +62,12 @@
     {
         while (m_credit <= 0 && !m_is_cancelled)
         {
+            m_blocked_since = monotonic_clock::now();
             m_credit_signal.expires_at(net::steady_timer::time_point::max());
             boost::system::error_code ignored;
             co_await m_credit_signal.async_wait(
                 net::redirect_error(net::use_awaitable, ignored));
+            m_blocked_since.reset();
         }
         if (m_is_cancelled)
         {
@@ -82,7 +91,8 @@
 void link_exchange::cut_off()
 {
     m_result = pipeline::finish_result::broken;
-    m_whole.reset();
+    m_is_cancelled = true;
+    m_credit_signal.cancel();
 }
 
 void link_exchange::on_caller_gone(std::function<void()> call)
@@ -106,19 +116,8 @@
     }
 }
 
-net::awaitable<void> link_exchange::finish()
+void link_exchange::finish()
 {
-    if (m_whole)
-    {
-        pipeline::head_message head;
-        head.sequence = m_sequence++;
-        head.head = std::move(m_whole->head);
-        head.is_whole = true;
-        m_send(std::move(head));
-        const status written = co_await write(m_whole->body);
-        m_result = is_ok(written) ? pipeline::finish_result::complete
-                                  : pipeline::finish_result::broken;
-    }
     send_finish(m_result, {error_code::io_error, "the response was cut off"});
 }
 
--- a/libs/gateway/src/link_exchange.hpp
+++ b/libs/gateway/src/link_exchange.hpp
@@ -37,7 +37,6 @@
         return m_received;
     }
 
-    /// Keeps the response until finish() is called.
     boost::asio::awaitable<status> respond(http::response answer) override;
     boost::asio::awaitable<status>
     begin_stream(http::response_head head) override;
@@ -49,6 +48,10 @@
     {
         return true;
     }
+    std::optional<time_point> blocked_since() const override
+    {
+        return m_blocked_since;
+    }
 
     /// Allows to send more bytes.
     void add_credit(std::uint32_t bytes);
@@ -57,8 +60,8 @@
     /// link to it.
     void cancel();
 
-    /// Sends the rest of the response and its end.
-    boost::asio::awaitable<void> finish();
+    /// Sends the end of the response.
+    void finish();
 
     /// Sends the end of a request that has not run and will not run.
     void finish_not_run(error reason);
@@ -71,7 +74,8 @@
     boost::asio::steady_timer m_credit_signal;
     std::int64_t m_credit = handover_credit_bytes;
     std::uint32_t m_sequence = 0;
-    std::optional<http::response> m_whole;
+    /// Since when it waits to be allowed to send more bytes.
+    std::optional<time_point> m_blocked_since;
     pipeline::finish_result m_result = pipeline::finish_result::broken;
     std::function<void()> m_on_caller_gone;
     bool m_is_cancelled = false;
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -164,6 +164,7 @@
     if (m_status == 0 && !m_caller_gone && m_server_failure)
     {
         m_status = m_server_failure->head.status;
+        m_failure_buffer->begin_writing(make_writing());
         co_await m_exchange.respond(std::move(*m_server_failure));
     }
     else if (m_status == 0 && !m_caller_gone)
@@ -546,7 +547,7 @@
 
 bool request_handler::may_retry(attempt_result last)
 {
-    if (is_deadline_near() || m_has_unnumbered_events)
+    if (is_deadline_near() || m_has_unnumbered_events || m_lacks_memory)
     {
         return false;
     }
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -159,6 +159,8 @@
     /// Sends the head of the response to the caller, if none was sent yet. From
     /// then on only servers of the same version may continue the stream.
     boost::asio::awaitable<void> begin_stream(const http::response_head& head);
+    /// Lets the response that is written to the caller yield its memory.
+    response_writing make_writing();
     /// Cuts off a stream that cannot continue.
     void cut_off_stream();
     boost::asio::awaitable<void> refuse(refusal_cause cause);
@@ -241,8 +243,13 @@
     /// not.
     unsigned m_reached_attempts = 0;
     unsigned m_unreached_attempts = 0;
-    /// Error response of a server, forwarded if no other attempt succeeds.
+    /// Error response of a server, forwarded if no other attempt succeeds, and
+    /// the buffer that counts its body.
     std::optional<http::response> m_server_failure;
+    std::unique_ptr<response_buffer> m_failure_buffer;
+    /// Whether there was no room for the last attempt's response, which says
+    /// nothing about its server.
+    bool m_lacks_memory = false;
     /// Whether the last attempt named a server to copy the prompt from.
     bool m_has_copy_source = false;
     /// Whether the last stream broke off because the server's VM stopped
--- a/libs/gateway/src/request_handler_handover.cpp
+++ b/libs/gateway/src/request_handler_handover.cpp
@@ -331,6 +331,7 @@
     http::response response;
     response.head = std::move(*answer.whole);
     response.body = answer.body.take();
+    answer.body.begin_writing(make_writing());
     co_await m_exchange.respond(std::move(response));
     co_return handover_result::answered;
 }
--- a/libs/gateway/src/request_handler_response.cpp
+++ b/libs/gateway/src/request_handler_response.cpp
@@ -162,7 +162,7 @@
 attempt_outcome request_handler::outcome_of(attempt_result result) const
 {
     const bool has_ended = result == attempt_result::finished;
-    if (m_caller_gone || (!has_ended && is_deadline_near()))
+    if (m_caller_gone || m_lacks_memory || (!has_ended && is_deadline_near()))
     {
         return attempt_outcome::abandoned;
     }
@@ -184,7 +184,8 @@
 {
     http::response buffered;
     buffered.head = answer->head();
-    response_buffer body(m_state.response_buffers, m_server);
+    auto body =
+        std::make_unique<response_buffer>(m_state.response_buffers, m_server);
     for (;;)
     {
         auto part = co_await answer->read_some();
@@ -198,21 +199,23 @@
         {
             break;
         }
-        const status taken = body.append(*value_of(part));
+        const status taken = body->append(*value_of(part));
         if (!is_ok(taken))
         {
+            m_lacks_memory = error_of(taken).code == error_code::overloaded;
             m_last_failure = error_of(taken).message;
             co_return attempt_result::failed;
         }
         answer->set_read_timeout(std::max(time_left(), duration::zero()));
     }
     m_open_response = nullptr;
-    buffered.body = body.take();
+    buffered.body = body->take();
     if (buffered.head.status >= first_failure_status &&
         directory::may_repeat(m_route->kind))
     {
         m_last_failure = "status " + std::to_string(buffered.head.status);
         m_server_failure = std::move(buffered);
+        m_failure_buffer = std::move(body);
         co_return attempt_result::failed;
     }
     if (buffered.head.status < first_redirection_status)
@@ -221,15 +224,41 @@
     }
     m_status = buffered.head.status;
     m_first_byte_at = monotonic_clock::now();
+    body->begin_writing(make_writing());
     co_await m_exchange.respond(std::move(buffered));
     co_return attempt_result::finished;
 }
 
+response_writing request_handler::make_writing()
+{
+    response_writing writing;
+    writing.blocked_since = [this]
+    {
+        return m_exchange.blocked_since();
+    };
+    writing.end = [this]
+    {
+        m_last_failure = "the caller does not take the response";
+        m_caller_gone = true;
+        if (m_open_response != nullptr)
+        {
+            m_open_response->cancel();
+        }
+        if (m_sent_handover != nullptr)
+        {
+            m_sent_handover->cancel();
+        }
+        m_exchange.cut_off();
+    };
+    return writing;
+}
+
 net::awaitable<request_handler::attempt_result>
 request_handler::forward_stream(std::unique_ptr<http::response_stream> answer)
 {
     http::event_splitter events(m_last_event, max_event_bytes);
-    buffer_claim unfinished(m_state.response_buffers, m_server);
+    buffer_claim kept(m_state.response_buffers, m_server);
+    kept.begin_writing(make_writing());
     const bool is_rest = m_last_event > 0;
     bool has_events = false;
     if (!m_stream_begun)
@@ -276,11 +305,13 @@
             m_last_failure = error_of(batch).message;
             break;
         }
-        // The string that holds them may be twice as large.
-        const status kept = unfinished.resize(2 * m_unfinished_bytes);
-        if (!is_ok(kept))
+        // The string that holds unfinished events may be twice as large.
+        const status claimed =
+            kept.resize(2 * m_unfinished_bytes + value_of(batch).bytes.size());
+        if (!is_ok(claimed))
         {
-            m_last_failure = error_of(kept).message;
+            m_lacks_memory = true;
+            m_last_failure = error_of(claimed).message;
             break;
         }
         if (!value_of(batch).bytes.empty())
--- a/libs/gateway/src/response_buffer.cpp
+++ b/libs/gateway/src/response_buffer.cpp
@@ -1,5 +1,8 @@
 #include "response_buffer.hpp"
 
+#include <limpet/base/text_growth.hpp>
+
+#include <algorithm>
 #include <utility>
 
 namespace limpet::gateway
@@ -10,27 +13,67 @@
 
 /// Largest body of one response.
 constexpr std::size_t max_body_bytes = 16UL * 1024 * 1024;
+/// Memory that the largest body takes, with what a text has to spare.
+constexpr std::size_t max_body_memory = max_body_bytes / 4 * 5;
 /// Sizes up to this one do not count against the budget.
 constexpr std::size_t small_bytes = 16UL * 1024;
-/// Budget of the larger ones: a quarter of the smallest router's memory.
-constexpr std::size_t total_bytes = 40UL * 1024 * 1024;
-/// Share of the budget that one server may use.
-constexpr std::size_t server_bytes = total_bytes / 2;
 
 } // namespace
 
-bool response_buffer_budget::try_take(const engine_id& server,
-                                      std::size_t bytes)
+response_buffer_budget::response_buffer_budget(std::size_t total_bytes)
+    : m_total(total_bytes),
+      m_server_total(
+          std::max(total_bytes / 2, std::min(total_bytes, max_body_memory)))
+{
+}
+
+bool response_buffer_budget::fits(const engine_id& server,
+                                  std::size_t bytes) const
 {
     const auto found = m_taken_by_server.find(server);
     const std::size_t taken_before =
         found == m_taken_by_server.end() ? 0 : found->second;
-    if (m_taken + bytes > total_bytes || taken_before + bytes > server_bytes)
+    return m_taken + bytes <= m_total && taken_before + bytes <= m_server_total;
+}
+
+bool response_buffer_budget::try_take(const engine_id& server,
+                                      std::size_t bytes)
+{
+    while (!fits(server, bytes))
     {
-        return false;
+        if (bytes > m_server_total || !evict_one())
+        {
+            return false;
+        }
     }
     m_taken += bytes;
-    m_taken_by_server[server] = taken_before + bytes;
+    m_taken_by_server[server] += bytes;
+    return true;
+}
+
+/// Ends the response whose caller has taken nothing for the longest time.
+/// Returns false if there is none that has to yield.
+bool response_buffer_budget::evict_one()
+{
+    const time_point latest = monotonic_clock::now() - unread_time;
+    buffer_claim* victim = nullptr;
+    time_point since = latest;
+    for (buffer_claim* each : m_written)
+    {
+        const auto blocked = each->m_writing.blocked_since();
+        if (each->m_taken > 0 && blocked && *blocked <= since)
+        {
+            victim = each;
+            since = *blocked;
+        }
+    }
+    if (victim == nullptr)
+    {
+        return false;
+    }
+    m_written.erase(victim);
+    give_back(victim->m_server, std::exchange(victim->m_taken, 0));
+    victim->m_writing.end();
     return true;
 }
 
@@ -58,6 +101,7 @@
 
 buffer_claim::~buffer_claim()
 {
+    m_budget.m_written.erase(this);
     m_budget.give_back(m_server, m_taken);
 }
 
@@ -78,6 +122,12 @@
     return success();
 }
 
+void buffer_claim::begin_writing(response_writing writing)
+{
+    m_writing = std::move(writing);
+    m_budget.m_written.insert(this);
+}
+
 response_buffer::response_buffer(response_buffer_budget& budget,
                                  engine_id server)
     : m_claim(budget, std::move(server))
@@ -94,14 +144,13 @@
     status claimed = m_claim.resize(size);
     if (is_ok(claimed))
     {
-        m_body += bytes;
+        append_tightly(m_body, bytes);
     }
     return claimed;
 }
 
 std::string response_buffer::take()
 {
-    m_claim.resize(0);
     return std::exchange(m_body, {});
 }
 
--- a/libs/gateway/test/response_buffer_test.cpp
+++ b/libs/gateway/test/response_buffer_test.cpp
@@ -84,6 +84,54 @@
     BOOST_TEST(is_ok(first.resize(share)));
 }
 
+/// Callers that do not read their answers kept them beyond the budget.
+BOOST_AUTO_TEST_CASE(taken_body_counts_until_its_buffer_is_destroyed)
+{
+    response_buffer_budget budget(part.size());
+    {
+        response_buffer first(budget, faulty);
+        fill(first);
+        first.take();
+        response_buffer second(budget, sound);
+        BOOST_TEST(!is_ok(second.append(part)));
+    }
+    response_buffer third(budget, sound);
+    BOOST_TEST(is_ok(third.append(part)));
+}
+
+BOOST_AUTO_TEST_CASE(response_that_is_not_read_yields_its_room)
+{
+    response_buffer_budget budget(2 * part.size());
+    std::optional<time_point> blocked_since;
+    int ended = 0;
+    const auto write = [&](response_buffer& buffer)
+    {
+        BOOST_TEST(is_ok(buffer.append(part)));
+        buffer.take();
+        buffer.begin_writing({[&]
+                              {
+                                  return blocked_since;
+                              },
+                              [&]
+                              {
+                                  ++ended;
+                              }});
+    };
+    response_buffer first(budget, faulty);
+    response_buffer second(budget, faulty);
+    write(first);
+    write(second);
+    response_buffer other(budget, sound);
+    BOOST_TEST(!is_ok(other.append(part)));
+    blocked_since = monotonic_clock::now();
+    BOOST_TEST(!is_ok(other.append(part)));
+    BOOST_TEST(ended == 0);
+    *blocked_since -= response_buffer_budget::unread_time;
+    BOOST_TEST(is_ok(other.append(part)));
+    BOOST_TEST(ended == 1);
+    BOOST_TEST(budget.used_bytes() == 2 * part.size());
+}
+
 BOOST_AUTO_TEST_CASE(budget_is_given_back)
 {
     response_buffer_budget budget;
--- a/libs/http/include/limpet/http/server.hpp
+++ b/libs/http/include/limpet/http/server.hpp
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace limpet::http
@@ -76,6 +77,10 @@
     /// Counts so many bytes that the handler keeps for the request, besides the
     /// request itself. Returns false if there is no room for them.
     virtual bool add_memory(std::size_t bytes) = 0;
+
+    /// Returns since when the caller has taken no byte of what is being
+    /// written, or nothing if nothing is.
+    virtual std::optional<time_point> blocked_since() const = 0;
 };
 
 /// Accepts connections and hands each request to the handler.
--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -571,6 +571,14 @@
     return has_room;
 }
 
+std::optional<time_point> connection::blocked_since() const
+{
+    const connection_activity activity = m_activity.now();
+    return activity.phase == connection_phase::writing
+               ? std::optional(activity.progressed)
+               : std::nullopt;
+}
+
 /// Records that the request takes so many bytes besides those that are not
 /// parsed yet. Returns false if there is no room for them.
 bool connection::keep_memory(std::size_t request_bytes)
--- a/libs/http/src/connection.hpp
+++ b/libs/http/src/connection.hpp
@@ -71,6 +71,7 @@
     void cut_off() override;
     void on_caller_gone(std::function<void()> call) override;
     bool add_memory(std::size_t bytes) override;
+    std::optional<time_point> blocked_since() const override;
 
 private:
     enum class answer_state
--- a/libs/pipeline/test/attempt_test.cpp
+++ b/libs/pipeline/test/attempt_test.cpp
@@ -62,6 +62,11 @@
         return true;
     }
 
+    std::optional<time_point> blocked_since() const override
+    {
+        return std::nullopt;
+    }
+
     std::string text;
     bool has_ended = false;
 
