Links: frames of peers that do not go on take no memory and no places

What callers saw: any connection to the peers' port of a router or replica took 8 MiB for a frame header of 8 bytes, for as long as it stayed open; 40 took 340 MB. 2,000 silent ones kept replicas and routers from reaching each other. Cause: the buffer grew to the announced length at once and never shrank, frames of all links had no bound in common, and a connection had any time to announce its peer. A quarter of max_descriptors is for links.

--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -56,9 +56,12 @@
 /// Fraction (1/n) of the VM's memory for bodies of operators' requests. A
 /// document takes several times its size while it is read.
 constexpr std::uint64_t body_memory_divisor = 8;
-/// Fraction (1/n) of the descriptors for operators and backend servers. The
-/// others are for peers and files.
+/// Fraction (1/n) of the VM's memory for frames that peers are sending.
+constexpr std::uint64_t link_memory_divisor = 8;
+/// Fractions (1/n) of the descriptors for operators and backend servers, and
+/// for peers. The others are for connections to peers and for files.
 constexpr std::uint64_t operator_descriptors_divisor = 3;
+constexpr std::uint64_t link_descriptors_divisor = 4;
 
 http::server_limits operator_limits(const control_settings& settings)
 {
@@ -231,6 +234,17 @@
         links.connect_timeout = link_connect_timeout;
         links.silence_timeout = link_timeout;
         links.max_reconnect_delay = link_retry;
+        if (m_settings.memory)
+        {
+            links.max_total_received_bytes =
+                *m_settings.memory / link_memory_divisor;
+        }
+        if (m_settings.max_descriptors)
+        {
+            links.max_incoming = std::min<std::size_t>(
+                links.max_incoming,
+                *m_settings.max_descriptors / link_descriptors_divisor);
+        }
         auto hub = wire::link_hub::listen(
             m_context, m_settings.peers, self, links, std::move(handlers));
         if (!is_ok(hub))
--- a/libs/gateway/src/directory_client.cpp
+++ b/libs/gateway/src/directory_client.cpp
@@ -21,11 +21,14 @@
 /// Time without data after which a link is replaced. Covers several round trips
 /// between data centres; changes must reach the gateway well within 2 s.
 constexpr duration link_silence_timeout = milliseconds(1000);
-/// Fraction (1/n) of the VM's memory for requests that are handed over to other
-/// routers and their responses.
+/// Fractions (1/n) of the VM's memory for requests that are handed over to
+/// other routers and their responses, and for frames that peers are sending.
 constexpr std::uint64_t queue_memory_divisor = 8;
+constexpr std::uint64_t frame_memory_divisor = 16;
 /// Room for a request of the largest usual size.
 constexpr std::uint64_t min_link_memory = 8UL * 1024 * 1024;
+/// Fraction (1/n) of the descriptors for connections from peers.
+constexpr std::size_t link_descriptors_divisor = 4;
 /// Longest delay between two attempts to connect to a replica.
 constexpr duration max_link_retry_delay = milliseconds(200);
 /// Timeout of connecting to a peer. Covers several round trips between data
@@ -98,6 +101,14 @@
     {
         links.max_total_queued_bytes =
             std::max(*settings.memory / queue_memory_divisor, min_link_memory);
+        links.max_total_received_bytes =
+            std::max(*settings.memory / frame_memory_divisor, min_link_memory);
+    }
+    if (settings.max_descriptors)
+    {
+        links.max_incoming = std::min<std::size_t>(
+            links.max_incoming,
+            *settings.max_descriptors / link_descriptors_divisor);
     }
     const wire::link_identity identity{settings.vm,
                                        settings.data_centre,
--- a/libs/wire/include/limpet/wire/link_hub.hpp
+++ b/libs/wire/include/limpet/wire/link_hub.hpp
@@ -41,13 +41,20 @@
     std::size_t max_queued_bytes = 16 * 1024 * 1024;
     /// Limit on the callers' data queued for all peers together, in bytes.
     std::size_t max_total_queued_bytes = 256 * 1024 * 1024;
+    /// Limit on the frames that are being received from all peers together, in
+    /// bytes. Those of up to 16 KiB do not count.
+    std::size_t max_total_received_bytes = 256 * 1024 * 1024;
     duration connect_timeout = seconds(2);
     duration reconnect_delay = milliseconds(100);
     duration max_reconnect_delay = seconds(2);
     /// Time for which a peer's machine may be silent before a connection ends,
     /// as http::options_for_silence() says.
     duration silence_timeout = seconds(3);
+    /// Connections from peers. If there are as many, one that has not announced
+    /// its peer ends for the sake of a new one.
     std::size_t max_incoming = 2000;
+    /// Time in which a peer announces itself on a new connection.
+    duration hello_timeout = seconds(3);
 };
 
 /// Callbacks of a hub, called from the threads of the io_context. Calls for
--- a/libs/wire/src/link_hub.cpp
+++ b/libs/wire/src/link_hub.cpp
@@ -48,7 +48,9 @@
           m_handlers(std::move(handlers)),
           m_hello_payload(encode_hello(m_self)),
           m_data_budget(
-              std::make_shared<queue_budget>(settings.max_total_queued_bytes))
+              std::make_shared<queue_budget>(settings.max_total_queued_bytes)),
+          m_frame_memory(
+              std::make_shared<frame_memory>(settings.max_total_received_bytes))
     {
     }
 
@@ -186,6 +188,7 @@
             std::move(socket),
             m_settings,
             m_counters,
+            m_frame_memory,
             [this](const link_identity& from, channel kind, std::string payload)
             {
                 if (m_faults.find(from.vm) == link_fault::none)
@@ -195,7 +198,7 @@
             });
         {
             const std::lock_guard lock(m_mutex);
-            if (m_closed || m_incoming.size() >= m_settings.max_incoming)
+            if (m_closed || !has_place())
             {
                 return;
             }
@@ -212,6 +215,32 @@
             net::detached);
     }
 
+    /// Returns whether one more connection is served; the one that has been
+    /// without a hello longest ends for it, if need be. Call with the lock.
+    bool has_place()
+    {
+        if (m_incoming.size() < m_settings.max_incoming)
+        {
+            return true;
+        }
+        std::shared_ptr<incoming_link> oldest;
+        for (const auto& each : m_incoming)
+        {
+            if (!each->has_hello() &&
+                (!oldest || each->accepted_at() < oldest->accepted_at()))
+            {
+                oldest = each;
+            }
+        }
+        if (!oldest)
+        {
+            return false;
+        }
+        m_incoming.erase(oldest);
+        oldest->post_close();
+        return true;
+    }
+
     void report_fault(const vm_id& peer, link_fault fault)
     {
         if (fault == link_fault::cut)
@@ -266,6 +295,7 @@
     link_handlers m_handlers;
     std::string m_hello_payload;
     std::shared_ptr<queue_budget> m_data_budget;
+    std::shared_ptr<frame_memory> m_frame_memory;
     traffic_counters m_counters;
     fault_switch m_faults;
 
--- a/libs/wire/test/link_hub_test.cpp
+++ b/libs/wire/test/link_hub_test.cpp
@@ -1,9 +1,12 @@
+#include "hello.hpp"
+
 #include <limpet/http/endpoint.hpp>
 #include <limpet/wire/link_hub.hpp>
 
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <array>
 #include <vector>
 
 using namespace limpet;
@@ -137,6 +140,139 @@
     BOOST_TEST(lost[0] == "vm2");
 }
 
+BOOST_AUTO_TEST_CASE(hub_connection_without_hello_is_closed)
+{
+    settings.hello_timeout = milliseconds(1);
+    receiver_hub->close();
+    receiver_hub = open("vm3");
+    net::ip::tcp::socket silent(context);
+    silent.connect(
+        value_of(http::parse_endpoint(receiver_hub->self().address)));
+    bool is_closed = false;
+    std::array<char, 1> byte{};
+    silent.async_read_some(net::buffer(byte),
+                           [&](boost::system::error_code failure, std::size_t)
+                           {
+                               is_closed = failure == net::error::eof;
+                           });
+    run_until(
+        [&]
+        {
+            return is_closed;
+        });
+}
+
+BOOST_AUTO_TEST_CASE(hub_takes_peers_while_silent_connections_fill_it)
+{
+    settings.max_incoming = 2;
+    receiver_hub->close();
+    receiver_hub = open("vm2");
+    std::vector<net::ip::tcp::socket> silent;
+    for (int i = 0; i < 6; ++i)
+    {
+        silent.emplace_back(context).connect(
+            value_of(http::parse_endpoint(receiver_hub->self().address)));
+    }
+    connect();
+    BOOST_TEST(is_ok(sender_hub->send(vm_id("vm2"), channel::control, "x")));
+    run_until(
+        [&]
+        {
+            return !frames.empty();
+        });
+    BOOST_TEST(frames[0].payload == "x");
+}
+
+BOOST_AUTO_TEST_CASE(hub_hello_beyond_its_limit_is_refused)
+{
+    net::ip::tcp::socket peer(context);
+    peer.connect(value_of(http::parse_endpoint(receiver_hub->self().address)));
+    const frame_header header =
+        encode_frame_header(channel::hello, settings.max_payload_bytes);
+    net::write(peer, net::buffer(header));
+    bool is_closed = false;
+    std::array<char, 1> byte{};
+    peer.async_read_some(net::buffer(byte),
+                         [&](boost::system::error_code failure, std::size_t)
+                         {
+                             is_closed = failure.failed();
+                         });
+    run_until(
+        [&]
+        {
+            return is_closed;
+        });
+}
+
+BOOST_AUTO_TEST_CASE(hub_large_frames_arrive_whole_within_little_memory)
+{
+    settings.max_total_received_bytes = 2UL * 1024 * 1024;
+    receiver_hub->close();
+    receiver_hub = open("vm2");
+    connect();
+    for (int i = 0; i < 8; ++i)
+    {
+        const std::string payload(1024UL * 1024, static_cast<char>('a' + i));
+        BOOST_TEST(
+            is_ok(sender_hub->send(vm_id("vm2"), channel::exchange, payload)));
+        sender_hub->send(vm_id("vm2"), channel::exchange, "small");
+    }
+    run_until(
+        [&]
+        {
+            return frames.size() == 16;
+        });
+    for (std::size_t i = 0; i < frames.size(); i += 2)
+    {
+        BOOST_TEST(frames[i].payload.size() == 1024UL * 1024);
+        BOOST_TEST(frames[i].payload.back() == static_cast<char>('a' + i / 2));
+        BOOST_TEST(frames[i + 1].payload == "small");
+    }
+}
+
+/// A peer that stops within a frame would keep the memory of others.
+BOOST_AUTO_TEST_CASE(hub_frame_that_stalls_yields_its_memory)
+{
+    settings.max_total_received_bytes = 2UL * 1024 * 1024;
+    receiver_hub->close();
+    receiver_hub = open("vm2");
+    net::ip::tcp::socket stalled(context);
+    stalled.connect(
+        value_of(http::parse_endpoint(receiver_hub->self().address)));
+    std::string bytes;
+    append_frame(
+        bytes,
+        channel::hello,
+        encode_hello({vm_id("vm9"), data_centre_id("n"), incarnation(1), ""}));
+    const frame_header header =
+        encode_frame_header(channel::exchange, settings.max_payload_bytes);
+    bytes.append(header.data(), header.size());
+    bytes.append(1024UL * 1024, 'x');
+    bool is_written = false;
+    net::async_write(stalled,
+                     net::buffer(bytes),
+                     [&](boost::system::error_code, std::size_t)
+                     {
+                         is_written = true;
+                     });
+    run_until(
+        [&]
+        {
+            return is_written;
+        });
+    connect();
+    run_until(
+        [&]
+        {
+            // The first ones may find no room, which ends the link.
+            sender_hub->send(vm_id("vm2"),
+                             channel::exchange,
+                             std::string(1024UL * 1024, 'y'));
+            return !frames.empty();
+        });
+    BOOST_TEST(frames[0].payload.front() == 'y');
+}
+
 BOOST_AUTO_TEST_CASE(hub_data_for_all_peers_together_is_bounded)
 {
     settings.max_total_queued_bytes = 1000;
