HTTP server: a connection that kept its place after all closes silently when idle

The mark is reset before each wait. Read, not seen; without a test of its own, as the two events would have to meet on a strand.

--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -218,6 +218,7 @@
 boost::asio::awaitable<bool> connection::wait_for_request()
 {
     m_idle = true;
+    m_gives_up_place = false;
     m_answer = answer_state::none;
     m_activity.begin(connection_phase::waiting);
     if (m_buffer.size() == 0)
