Tests: addresses where nothing listens are not given to a test's own servers

What was seen: request_may_have_run_if_the_link_is_lost_after_it_was_sent got 200 where 502 is due, in one of ten runs of gateway_test, beside three others. Cause: closed_endpoint() let its port go, and a server that the test started afterwards could get it, so that the router that reaches no server reached one.

--- a/libs/gateway/test/handed_over_requests_test.cpp
+++ b/libs/gateway/test/handed_over_requests_test.cpp
@@ -63,6 +63,8 @@
     /// of the last one.
     bool has_memory = true;
     std::size_t claimed_bytes = 0;
+    /// Sockets that are bound and do not listen.
+    std::vector<net::ip::tcp::socket> closed;
     /// Frames from the other router are dropped.
     bool is_link_silent = false;
 
@@ -129,12 +131,15 @@
             context, vm_id(self), data_centre_id("z"), std::move(callbacks));
     }
 
-    /// Returns an address where nothing listens.
+    /// Returns an address where nothing listens. Keeps it, as a server of the
+    /// test could get it otherwise.
     net::ip::tcp::endpoint closed_endpoint()
     {
-        net::ip::tcp::acceptor probe(context,
-                                     {net::ip::address_v4::loopback(), 0});
-        return probe.local_endpoint();
+        return closed
+            .emplace_back(
+                context,
+                net::ip::tcp::endpoint(net::ip::address_v4::loopback(), 0))
+            .local_endpoint();
     }
 
     /// Adds servers that only the other gateway reaches.
