--- a/libs/base/test/receive_budget_test.cpp
+++ b/libs/base/test/receive_budget_test.cpp
@@ -46,6 +46,15 @@
     BOOST_TEST(evicted.empty());
 }
 
+BOOST_AUTO_TEST_CASE(body_of_exactly_the_room_that_is_left_is_taken)
+{
+    receive_budget thousand(1000);
+    BOOST_TEST(!thousand.resize(key(0), 1001, start_time, evicted));
+    BOOST_TEST(thousand.resize(key(0), 1000, start_time, evicted));
+    BOOST_TEST(!thousand.resize(key(1), 1, start_time, evicted));
+    BOOST_TEST(evicted.empty());
+}
+
 /// Callers that stop short of the end of their bodies would otherwise keep the
 /// memory until their time to send is over.
 BOOST_AUTO_TEST_CASE(stalled_bodies_yield_to_those_that_arrive)
--- a/tests/hostile_callers/hostile_callers.py
+++ b/tests/hostile_callers/hostile_callers.py
@@ -146,9 +146,9 @@
 def many_parts(number):
     """A whole request whose prompt has as many parts as a head can name."""
     text = head(number, {"Content-Length": "0"})
-    count = (HEAD_BYTES - len(text)) // len(b"fff:1,")
-    listed = b",".join(b"%x:1" % (n % 4096) for n in range(count))
-    return [text[:-2] + b"Prompt-Prefix: " + listed + b"\r\n\r\n"]
+    count = (HEAD_BYTES - len(text)) // len("fff:1,")
+    field = peer.prompt_parts_field(count).encode()
+    return [text[:-2] + field + b"\r\n\r\n"]
 
 
 def frame_header(announced_bytes):
