Links: silent connections take a part of the places only; a failed accept waits

Crowds at all ports of a router at once would have left some 50 of 4,100 descriptors for servers, as connections without a hello could have all places of peers (derived: 2,626 of callers, 1,025 of peers, 352 of probes, 44 of scrapes). And the accept of links, unlike the HTTP server's, tried again at once when descriptors were used up. Now a quarter of the places of peers may be without a hello, and a failed accept waits 50 ms. The accept was read, not shown.

--- a/libs/wire/include/limpet/wire/link_hub.hpp
+++ b/libs/wire/include/limpet/wire/link_hub.hpp
@@ -50,8 +50,8 @@
     /// Time for which a peer's machine may be silent before a connection ends,
     /// as http::options_for_silence() says.
     duration silence_timeout = seconds(3);
-    /// Connections from peers. If there are as many, one that has not announced
-    /// its peer ends for the sake of a new one.
+    /// Connections from peers. If there are as many, or a quarter as many that
+    /// have not announced their peer, one of the latter ends for a new one.
     std::size_t max_incoming = 2000;
     /// Time in which a peer announces itself on a new connection.
     duration hello_timeout = seconds(3);
--- a/libs/wire/src/link_hub.cpp
+++ b/libs/wire/src/link_hub.cpp
@@ -11,8 +11,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -24,6 +26,11 @@
 namespace
 {
 
+/// Pause after an accept that failed, as when descriptors run out.
+constexpr duration accept_retry_delay = milliseconds(50);
+/// Fraction (1/n) of the incoming connections that may be without a hello.
+constexpr std::size_t silent_divisor = 4;
+
 /// Connections to one peer: one for control traffic, one for data.
 struct peer_links
 {
@@ -177,7 +184,12 @@
             if (!failure)
             {
                 start_incoming_link(std::move(socket));
+                continue;
             }
+            net::steady_timer pause(m_acceptor.get_executor());
+            pause.expires_after(accept_retry_delay);
+            co_await pause.async_wait(
+                net::redirect_error(net::use_awaitable, failure));
         }
     }
 
@@ -219,19 +231,26 @@
     /// without a hello longest ends for it, if need be. Call with the lock.
     bool has_place()
     {
-        if (m_incoming.size() < m_settings.max_incoming)
-        {
-            return true;
-        }
+        std::size_t silent = 0;
         std::shared_ptr<incoming_link> oldest;
         for (const auto& each : m_incoming)
         {
-            if (!each->has_hello() &&
-                (!oldest || each->accepted_at() < oldest->accepted_at()))
+            if (each->has_hello())
+            {
+                continue;
+            }
+            ++silent;
+            if (!oldest || each->accepted_at() < oldest->accepted_at())
             {
                 oldest = each;
             }
         }
+        const std::size_t most_silent =
+            std::max<std::size_t>(1, m_settings.max_incoming / silent_divisor);
+        if (m_incoming.size() < m_settings.max_incoming && silent < most_silent)
+        {
+            return true;
+        }
         if (!oldest)
         {
             return false;
