HTTP server: refusals for lack of room are logged, counted and say when to return

What callers saw: 503 without a time to return, where the gateway's own refusals name one. What operators saw: nothing, as such requests have no request.end line.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -1,6 +1,7 @@
 #include "directory_client.hpp"
 #include "gateway_state.hpp"
 #include "request_handler.hpp"
+#include "server_refusal.hpp"
 #include "server_silence.hpp"
 
 #include <limpet/base/hash.hpp>
@@ -524,11 +525,19 @@
     std::string metrics_text() const
     {
         std::ostringstream out;
+        const http::server_counts counts = m_caller_server->counts();
         out << m_state.metrics.to_text() << "limpet_gateway_waiting "
             << m_state.queue.size() << "\nlimpet_gateway_open_requests "
             << m_caller_server->open_request_count()
             << "\nlimpet_gateway_connections "
             << m_caller_server->connection_count()
+            << "\nlimpet_gateway_connections_ended_total "
+            << counts.ended_connections
+            << "\nlimpet_gateway_connections_refused_total "
+            << counts.refused_connections
+            << "\nlimpet_gateway_requests_without_memory_total "
+            << counts.without_memory << "\nlimpet_gateway_response_bytes "
+            << m_state.response_buffers.used_bytes()
             << "\nlimpet_gateway_servers " << m_state.pool.size()
             << "\nlimpet_gateway_limited_servers "
             << m_state.pool.limited_servers()
@@ -588,6 +597,10 @@
             {
                 request_handler request(m_state, caller);
                 co_await request.run();
+            },
+            [this](unsigned status, std::string_view reason)
+            {
+                return make_server_refusal(m_state.codec, status, reason);
             });
         if (!is_ok(opened))
         {
--- a/libs/http/include/limpet/http/server.hpp
+++ b/libs/http/include/limpet/http/server.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -42,6 +43,17 @@
     duration write_timeout = seconds(30);
 };
 
+/// What a server's bounds have led to since its start.
+struct server_counts
+{
+    /// Connections that ended for the sake of new ones.
+    std::uint64_t ended_connections = 0;
+    /// New connections that found no place.
+    std::uint64_t refused_connections = 0;
+    /// Requests, or parts of them, that found no memory.
+    std::uint64_t without_memory = 0;
+};
+
 /// One received request and its answer. Used by one coroutine at a time, on
 /// the connection's executor.
 class exchange
@@ -147,6 +159,9 @@
     /// Returns the number of open connections. Thread-safe.
     virtual std::size_t connection_count() const = 0;
 
+    /// Returns what the bounds have led to. Thread-safe.
+    virtual server_counts counts() const = 0;
+
     /// Returns the number of requests without a complete answer. Thread-safe.
     virtual std::size_t open_request_count() const = 0;
 };
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -58,6 +58,7 @@
                              failure.message()};
         }
         m_endpoint = m_acceptor.local_endpoint(failure);
+        m_core->set_address(to_string(m_endpoint));
         return success();
     }
 
@@ -119,6 +120,7 @@
 
     void refuse(const std::shared_ptr<connection>& item)
     {
+        m_core->record_refused_connection();
         if (m_core->begin_refusal())
         {
             boost::asio::co_spawn(
@@ -200,6 +202,11 @@
         return m_core->connections;
     }
 
+    server_counts counts() const override
+    {
+        return m_core->counts();
+    }
+
     std::size_t open_request_count() const override
     {
         return m_core->open_requests;
--- a/libs/http/src/server_core.cpp
+++ b/libs/http/src/server_core.cpp
@@ -2,7 +2,10 @@
 
 #include "connection.hpp"
 
+#include <limpet/base/log.hpp>
+
 #include <algorithm>
+#include <utility>
 
 namespace limpet::http
 {
@@ -14,6 +17,8 @@
 /// those that are served, and no more than that.
 constexpr std::size_t refusals_divisor = 8;
 constexpr std::size_t most_refusals = 64;
+/// Interval between two log lines about the bounds.
+constexpr duration log_interval = seconds(1);
 
 /// Releases the room of a request.
 struct request_claim
@@ -110,6 +115,8 @@
         decide_place(activities, limits().connections, monotonic_clock::now());
     if (decision.yields)
     {
+        ++m_ended_connections;
+        log_counts();
         items[*decision.yields]->post_give_up_place();
     }
     if (decision.closes)
@@ -119,6 +126,45 @@
     return decision.has_place;
 }
 
+void server_core::set_address(std::string address)
+{
+    m_address = std::move(address);
+}
+
+void server_core::record_refused_connection()
+{
+    if (!stopping)
+    {
+        ++m_refused_connections;
+        log_counts();
+    }
+}
+
+server_counts server_core::counts() const
+{
+    return {m_ended_connections, m_refused_connections, m_without_memory};
+}
+
+/// Logs that the bounds are met, as seldom as a log can bear in a flood.
+void server_core::log_counts()
+{
+    const time_point now = monotonic_clock::now();
+    time_point next = m_next_log;
+    if (now < next ||
+        !m_next_log.compare_exchange_strong(next, now + log_interval))
+    {
+        return;
+    }
+    const server_counts counted = counts();
+    log_event(log_level::warn,
+              "callers.limited",
+              {{"address", m_address},
+               {"connections", connections.load()},
+               {"ended", counted.ended_connections},
+               {"refused", counted.refused_connections},
+               {"without_memory", counted.without_memory}});
+}
+
 void server_core::remove(const connection* item)
 {
     const std::lock_guard lock(m_mutex);
@@ -162,6 +208,11 @@
         has_room =
             m_requests.resize(item, bytes, monotonic_clock::now(), evicted);
     }
+    if (!has_room)
+    {
+        ++m_without_memory;
+        log_counts();
+    }
     for (const receive_budget::message_key each : evicted)
     {
         end_receiving(static_cast<const connection*>(each));
--- a/libs/http/src/server_core.hpp
+++ b/libs/http/src/server_core.hpp
@@ -8,8 +8,10 @@
 
 #include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -61,6 +63,12 @@
     bool begin_refusal();
     void end_refusal();
 
+    /// Names the server in its log lines. Call before it is used.
+    void set_address(std::string address);
+
+    void record_refused_connection();
+    server_counts counts() const;
+
     server_limits limits() const;
     void set_limits(const server_limits& limits);
 
@@ -74,6 +82,7 @@
 private:
     std::vector<std::shared_ptr<connection>> all() const;
     bool find_place();
+    void log_counts();
     void end_receiving(const connection* item);
 
     const server::refusal m_refuse;
@@ -82,6 +91,11 @@
     receive_budget m_requests;
     std::atomic<std::size_t> m_refusals = 0;
     const std::size_t m_most_refusals;
+    std::string m_address;
+    std::atomic<std::uint64_t> m_ended_connections = 0;
+    std::atomic<std::uint64_t> m_refused_connections = 0;
+    std::atomic<std::uint64_t> m_without_memory = 0;
+    std::atomic<time_point> m_next_log = time_point{};
     mutable std::mutex m_mutex;
     std::unordered_map<const connection*, std::weak_ptr<connection>> m_open;
 };
--- a/libs/http/test/server_test.cpp
+++ b/libs/http/test/server_test.cpp
@@ -471,6 +471,7 @@
     begun.get_future().wait();
     const std::string answer = exchange_raw("");
     BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(listening->counts().refused_connections == 1U);
     may_end.set_value();
 }
 
@@ -504,6 +505,7 @@
     const std::string answer =
         exchange_raw("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
     BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(listening->counts().ended_connections == 1U);
     // The client finds its connection closed and opens another.
     BOOST_TEST(
         std::holds_alternative<response>(fetch(make_request("GET", "/"))));
@@ -524,6 +526,7 @@
     auto claim = listening->claim_memory(30000);
     BOOST_TEST((claim != nullptr));
     BOOST_TEST((listening->claim_memory(40000) == nullptr));
+    BOOST_TEST(listening->counts().without_memory == 1U);
     BOOST_TEST(large() == 503U);
     claim.reset();
     BOOST_TEST(large() == 200U);
