Documents of many small values are refused before they are parsed

What callers saw: 40 documents of 4 MiB, a list of ones, took a replica's memory; parsed one at a time, each takes forty times its text. Cause: the bound counts texts, not what becomes of them. Change: parse_sent_json, used for what operators and servers send, refuses more than 1,024 values and one for each eight bytes. A route of the platform's documents has one for each 13 bytes or more.

--- a/libs/base/include/limpet/base/settings_reader.hpp
+++ b/libs/base/include/limpet/base/settings_reader.hpp
@@ -78,4 +78,9 @@
 /// Parses JSON text of bounded depth. Errors name the line and column.
 outcome<boost::json::value> parse_json(std::string_view text);
 
+/// Parses a document that another machine sent. Refuses one with more values
+/// than any of names and sentences has, a value for each eight bytes: parsed,
+/// they would take forty times the text.
+outcome<boost::json::value> parse_sent_json(std::string_view text);
+
 } // namespace limpet
--- a/libs/base/src/settings_reader.cpp
+++ b/libs/base/src/settings_reader.cpp
@@ -24,6 +24,30 @@
     return "line " + std::to_string(line) + " column " + std::to_string(column);
 }
 
+/// Returns how many values the text has, or more if it is malformed.
+std::size_t count_values(std::string_view text)
+{
+    std::size_t count = 1;
+    bool is_in_string = false;
+    for (std::size_t i = 0; i < text.size(); ++i)
+    {
+        const char symbol = text[i];
+        if (is_in_string && symbol == '\\')
+        {
+            ++i;
+        }
+        else if (symbol == '"')
+        {
+            is_in_string = !is_in_string;
+        }
+        else if (!is_in_string)
+        {
+            count += symbol == ',' || symbol == '[' || symbol == '{' ? 1 : 0;
+        }
+    }
+    return count;
+}
+
 std::string range_text(double low, double high)
 {
     std::ostringstream text;
@@ -280,6 +304,19 @@
     return parser.release();
 }
 
+outcome<boost::json::value> parse_sent_json(std::string_view text)
+{
+    // Short documents may be of small values.
+    constexpr std::size_t any_values = 1024;
+    constexpr std::size_t bytes_per_value = 8;
+    if (count_values(text) > any_values + text.size() / bytes_per_value)
+    {
+        return error{error_code::malformed,
+                     "the document has too many small values"};
+    }
+    return parse_json(text);
+}
+
 outcome<boost::json::value> read_json_file(const std::string& file)
 {
     std::ifstream stream(file, std::ios::binary);
--- a/libs/base/test/settings_reader_test.cpp
+++ b/libs/base/test/settings_reader_test.cpp
@@ -59,4 +59,27 @@
     BOOST_TEST(!is_ok(parse_json(std::string(1000, '['))));
 }
 
+BOOST_AUTO_TEST_CASE(sent_document_of_small_values_is_refused)
+{
+    std::string text = "[1";
+    while (text.size() < 100'000)
+    {
+        text += ",1";
+    }
+    BOOST_TEST(!is_ok(parse_sent_json(text + "]")));
+    BOOST_TEST(is_ok(parse_json(text + "]")));
+}
+
+BOOST_AUTO_TEST_CASE(sent_document_of_names_is_parsed)
+{
+    std::string text = R"([{"name":"a","on":true,"rank":1})";
+    while (text.size() < 100'000)
+    {
+        text += R"(,{"name":"r\"[,{","on":true,"rank":1})";
+    }
+    BOOST_TEST(is_ok(parse_sent_json(text + "]")));
+    BOOST_TEST(is_ok(parse_sent_json("[1,2,3]")));
+    BOOST_TEST(!is_ok(parse_sent_json("[1,")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/config/src/operator_api.cpp
+++ b/libs/config/src/operator_api.cpp
@@ -47,7 +47,7 @@
     {
         return response_to(*behind);
     }
-    const outcome<boost::json::value> document = parse_json(request.body);
+    const outcome<boost::json::value> document = parse_sent_json(request.body);
     if (!is_ok(document))
     {
         return response_to(error_of(document));
--- a/libs/control/src/operator_service.cpp
+++ b/libs/control/src/operator_service.cpp
@@ -53,7 +53,7 @@
 
 outcome<group_change> parse_group_change(std::string_view text)
 {
-    const auto document = parse_json(text);
+    const auto document = parse_sent_json(text);
     if (!is_ok(document))
     {
         return error_of(document);
@@ -232,7 +232,7 @@
 
 http::response operator_service::set_fault(const http::request& request)
 {
-    const auto document = parse_json(request.body);
+    const auto document = parse_sent_json(request.body);
     if (!is_ok(document))
     {
         return to_http(config::response_to(error_of(document)));
--- a/tests/hostile_callers/hostile_callers.py
+++ b/tests/hostile_callers/hostile_callers.py
@@ -200,6 +200,23 @@
     return [many_fields(number)[:-2]]
 
 
+def unfinished_chunk_line(number):
+    return [head(number, CHUNKED), b"1;" + b"x" * HEAD_BYTES]
+
+
+def endless_trailers(number):
+    return [head(number, CHUNKED), b"0\r\n",
+            *([b"".join(b"%c%c: b\r\n" % (97 + n % 26, 97 + n // 26 % 26)
+                        for n in range(2000))] * 20)]
+
+
+def small_documents(number):
+    """A document for the operator's call, of many small values."""
+    values = b"[" + b"1," * (BODY_LIMIT // 2 - 2) + b"1]"
+    return [f"PUT {peer.CONFIG_PATH} HTTP/1.1\r\nHost: control\r\n"
+            f"Content-Length: {len(values)}\r\n\r\n".encode(), values]
+
+
 def small_request(number):
     return [head(number, {"Content-Length": "0"}, "/none/small")]
 
@@ -234,6 +251,9 @@
                         b"x" * 1000],
         PLACE_CROWD, has_few_descriptors=True, trickles=True),
     "heads_at_a_replica": Case(begun_body, HEAD_CROWD, REPLICA_OPERATORS),
+    "chunk_lines_short_of_their_end": Case(unfinished_chunk_line, HEAD_CROWD),
+    "trailers_without_end": Case(endless_trailers, HEAD_CROWD),
+    "documents_at_a_replica": Case(small_documents, CROWD, REPLICA_OPERATORS),
     "large_events_not_read": Case(
         lambda number: [head(number, {"Content-Length": "0"},
                              "/stream/large")],
