Server pool: parts of prompts are bounded for all servers together

What callers could do: name thousands of parts in each head, of which a router remembers 4,096 for each server: 655,000 at 160 servers, some 32 MB (derived) beside all that memory_mb divides. Cause: a bound of one of which there may be many. Change: 96 K in all, 4,096 for a server at most and 32 at least. Up to 24 servers nothing changes; a router sends a server of a large fleet some tens of parts in the 30 s for which they are remembered. Evidence: parts_of_prompts_at_all_servers_together_are_bounded, without a network: 500,000 at 200 servers before, within 128 K now. The memory was not measured.

--- a/libs/gateway/include/limpet/gateway/server_pool.hpp
+++ b/libs/gateway/include/limpet/gateway/server_pool.hpp
@@ -294,6 +294,10 @@
     /// a service.
     std::uint32_t requests_in_flight(const std::string& service) const;
 
+    /// Returns how many prompt parts are remembered as sent to servers, which
+    /// is bounded for all servers together.
+    std::size_t tracked_parts() const;
+
     std::size_t size() const noexcept
     {
         return m_servers.size();
--- a/libs/gateway/src/server_pool_events.cpp
+++ b/libs/gateway/src/server_pool_events.cpp
@@ -30,8 +30,11 @@
 /// Time for which a server's former version is remembered, as long as replicas
 /// remember servers that have left.
 constexpr duration former_version_retention = seconds(60);
-/// Most prompt parts tracked for each server.
+/// Most prompt parts tracked for each server, as long as those of all servers
+/// stay within their memory of a few megabytes, and the fewest.
 constexpr std::size_t max_tracked_parts = 4096;
+constexpr std::size_t all_tracked_parts = 96UL * 1024;
+constexpr std::size_t min_tracked_parts = 32;
 
 } // namespace
 
@@ -204,14 +207,17 @@
     {
         each.limited_requests.take();
     }
-    if (each.parts.size() + query.parts.size() > max_tracked_parts)
+    const std::size_t most_parts =
+        std::clamp(all_tracked_parts / m_servers.size(),
+                   min_tracked_parts,
+                   max_tracked_parts);
+    if (each.parts.size() + query.parts.size() > most_parts)
     {
         evict_expired_parts(each, now);
     }
     for (const prompt_part& part : query.parts)
     {
-        if (each.parts.size() < max_tracked_parts ||
-            each.parts.contains(part.id))
+        if (each.parts.size() < most_parts || each.parts.contains(part.id))
         {
             each.parts[part.id] = now;
         }
--- a/libs/gateway/src/server_pool_prompts.cpp
+++ b/libs/gateway/src/server_pool_prompts.cpp
@@ -37,6 +37,16 @@
                   });
 }
 
+std::size_t server_pool::tracked_parts() const
+{
+    std::size_t count = 0;
+    for (const auto& [id, each] : m_servers)
+    {
+        count += each.parts.size();
+    }
+    return count;
+}
+
 /// Returns the servers that may hold the prompt in rendezvous-hashing order of
 /// its affinity part, which is the same at all routers. The order ignores load
 /// and capacity, so that it stays stable. It includes draining servers, since
--- a/libs/gateway/test/server_pool_test.cpp
+++ b/libs/gateway/test/server_pool_test.cpp
@@ -529,4 +529,26 @@
         (pool.only_version(service, recorded_at + milliseconds(1)) == former));
 }
 
+/// Callers name the parts of their prompts, thousands in one head.
+BOOST_AUTO_TEST_CASE(parts_of_prompts_at_all_servers_together_are_bounded)
+{
+    constexpr int servers = 200;
+    constexpr std::uint64_t parts_of_prompt = 2500;
+    constexpr std::size_t most = 128UL * 1024;
+    pool_of_servers many(servers);
+    std::uint64_t part = 1;
+    for (int i = 0; i < servers; ++i)
+    {
+        server_query query = plain_query();
+        for (std::uint64_t n = 0; n < parts_of_prompt; ++n)
+        {
+            query.parts.push_back({part++, 1});
+        }
+        many.pool.on_begin(
+            engine_id("i-" + std::to_string(i)), query, start_time);
+    }
+    BOOST_TEST(many.pool.tracked_parts() > 0U);
+    BOOST_TEST(many.pool.tracked_parts() <= most);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
