--- a/libs/gateway/test/response_buffer_test.cpp
+++ b/libs/gateway/test/response_buffer_test.cpp
@@ -84,7 +84,7 @@
     BOOST_TEST(is_ok(first.resize(share)));
 }
 
-/// Callers that do not read their answers kept them beyond the budget.
+/// The caller may not have read it yet.
 BOOST_AUTO_TEST_CASE(taken_body_counts_until_its_buffer_is_destroyed)
 {
     response_buffer_budget budget(part.size());
--- a/libs/http/test/request_parser_test.cpp
+++ b/libs/http/test/request_parser_test.cpp
@@ -68,7 +68,7 @@
     BOOST_TEST(!message.headers.find("Forged"));
 }
 
-/// A field of a few bytes took some 150.
+/// The limits of one request allow thousands of fields.
 BOOST_AUTO_TEST_CASE(head_of_small_fields_takes_a_few_times_its_bytes)
 {
     const std::string text = head_of_small_fields(15000);
--- a/libs/http/test/server_test.cpp
+++ b/libs/http/test/server_test.cpp
@@ -416,7 +416,7 @@
     BOOST_TEST(std::get<response>(result).body == "POST still");
 }
 
-/// Heads had no bound in common.
+/// Each of the heads is within the limits of one request.
 BOOST_AUTO_TEST_CASE(server_heads_beyond_the_total_are_refused)
 {
     server_limits limits;
