--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -510,6 +510,8 @@
     record = Record(folder)
     fleet = None
     code = 2
+    # A script that is ended also ends what it started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         fleet = Fleet(record)
         code = asyncio.run(
