Control: departures of servers survive a restart of all processes

Cause: the row that makes a late heartbeat stale was in memory only. Servers that are there repeat what the table holds; one that has left says nothing more. registration.taken shows the heartbeat's old sequence and start with result=changed, and server.leaves that every replica had known: that the heartbeat was newer, or that routers had kept the server, is refuted.

A replica puts in force what its disk holds at the start. Beside it: a deregistration names no start, so one that arrived again after its server had started anew removed the new one for good; within 5 s after a later start it has no effect now.

--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -2,6 +2,7 @@
 #include "claims_service.hpp"
 #include "config_source.hpp"
 #include "control_state.hpp"
+#include "departure_recorder.hpp"
 #include "directory_feed.hpp"
 #include "follower_reads.hpp"
 #include "group_discovery.hpp"
@@ -128,11 +129,13 @@
         if (m_settings.discovery)
         {
             make_feed();
+            make_recorder();
             m_orders = std::make_unique<order_service>(
                 m_state,
                 *m_replica,
                 *m_feed,
                 *m_reads,
+                *m_departures,
                 vm_ports{m_settings.vm, m_settings.operators.port()},
                 m_settings.rollout_repeat_time);
         }
@@ -184,6 +187,7 @@
         m_draining = true;
         if (m_feed)
         {
+            m_departures->stop();
             m_feed->stop();
         }
         m_replica->stop(
@@ -224,6 +228,7 @@
             if (m_feed)
             {
                 m_feed->on_lost(peer);
+                m_departures->on_lost(peer);
             }
         };
         const wire::link_identity self{m_settings.vm,
@@ -320,6 +325,7 @@
             {
                 m_orders->record_versions();
                 m_orders->update_rollouts(monotonic_clock::now());
+                m_departures->update();
             }
         };
         m_feed = std::make_unique<directory_feed>(
@@ -338,6 +344,76 @@
         }
     }
 
+    /// Puts the departures in force that the disk has.
+    void restore_departures()
+    {
+        m_state.departures().for_each(
+            [this](const directory::departure_table::entry& each)
+            {
+                m_stored_departures.push_back(each.server);
+            });
+        log_event(log_level::info,
+                  "departure.restored",
+                  {{"servers", m_stored_departures.size()}});
+        m_feed->take_departures(std::exchange(m_stored_departures, {}));
+    }
+
+    void make_recorder()
+    {
+        recorder_callbacks callbacks;
+        callbacks.leader = [this]
+        {
+            const replica::replica_view state = m_replica->view();
+            return known_leader{state.leader ? state.leader->vm : vm_id(),
+                                state.term,
+                                state.is_leader};
+        };
+        callbacks.propose =
+            [this](std::string entry, replica::proposal_callback done)
+        {
+            m_replica->propose(std::move(entry), std::move(done));
+        };
+        callbacks.send =
+            [this](const vm_id& to, const wire::call_message& message)
+        {
+            return m_hub->send(
+                to, wire::channel::control, wire::encode(message));
+        };
+        callbacks.recorded = [this]() -> const directory::departure_table&
+        {
+            return m_state.departures();
+        };
+        callbacks.servers = [this]() -> const directory::registration_table&
+        {
+            return m_feed->registrations();
+        };
+        callbacks.unix_ms = unix_ms;
+        m_departures = std::make_unique<departure_recorder>(
+            make_event_loop(m_context), std::move(callbacks));
+        restore_departures();
+    }
+
+    /// Puts departures in force that this replica has received from the leader.
+    /// They are what servers have said of themselves, so it need not wait until
+    /// they are committed, which may take an election.
+    void take_stored(std::string_view entry)
+    {
+        const auto departed = departures_in(entry);
+        const bool is_first = m_stored_departures.empty();
+        m_stored_departures.insert(
+            m_stored_departures.end(), departed.begin(), departed.end());
+        if (!m_feed || !is_first || departed.empty())
+        {
+            return;
+        }
+        net::post(m_context,
+                  [this]
+                  {
+                      m_feed->take_departures(
+                          std::exchange(m_stored_departures, {}));
+                  });
+    }
+
     void log_leader_change()
     {
         const replica::replica_view state = m_replica->view();
@@ -430,6 +506,10 @@
         {
             return restore(bytes);
         };
+        callbacks.stored = [this](std::string_view entry)
+        {
+            take_stored(entry);
+        };
         callbacks.send =
             [this](const vm_id& to, const std::vector<std::uint8_t>& bytes)
         {
@@ -535,6 +615,8 @@
         {
             result.routers = m_feed->routers();
             result.servers = m_feed->servers();
+            result.departures = m_state.departures().size();
+            result.departed = m_departures->counts();
             result.sent_content = &m_feed->sent_content();
         }
         result.sent = &m_hub->counters();
@@ -591,6 +673,10 @@
         if (const auto* answer = std::get_if<wire::reply>(&value_of(message)))
         {
             m_reads->receive(*answer);
+            if (m_departures)
+            {
+                m_departures->receive(*answer);
+            }
             return;
         }
         const auto& call = std::get<wire::call>(value_of(message));
@@ -602,6 +688,12 @@
         case wire::call_kind::newest_index:
             m_reads->receive(from, call);
             return;
+        case wire::call_kind::record_departures:
+            if (m_departures)
+            {
+                m_departures->receive(from, call);
+            }
+            return;
         }
     }
 
@@ -631,6 +723,10 @@
         if (is_ok(restored))
         {
             publish();
+            if (m_feed)
+            {
+                restore_departures();
+            }
         }
         return restored;
     }
@@ -655,6 +751,9 @@
     /// Set only if the group is found by discovery.
     std::optional<group_discovery> m_discovery;
     std::unique_ptr<directory_feed> m_feed;
+    std::unique_ptr<departure_recorder> m_departures;
+    /// Departures of stored log entries that are not in force yet.
+    std::vector<directory::registration> m_stored_departures;
     std::unique_ptr<claims_service> m_claims;
     std::unique_ptr<follower_reads> m_reads;
     std::unique_ptr<order_service> m_orders;
--- a/libs/control/src/control_state.cpp
+++ b/libs/control/src/control_state.cpp
@@ -14,6 +14,7 @@
 constexpr char config_kind = 'c';
 constexpr char claim_kind = 'k';
 constexpr char order_kind = 'o';
+constexpr char departure_kind = 'd';
 
 constexpr std::size_t length_bytes = 8;
 constexpr unsigned bits_per_byte = 8;
@@ -84,6 +85,22 @@
     return order_kind + encode(command);
 }
 
+std::string make_entry(const directory::departure_report& report)
+{
+    return departure_kind + encode(report);
+}
+
+std::vector<directory::registration> departures_in(std::string_view entry)
+{
+    if (!entry.starts_with(departure_kind))
+    {
+        return {};
+    }
+    auto report = directory::decode_departure_report(entry.substr(1));
+    return is_ok(report) ? std::move(value_of(report).servers)
+                         : std::vector<directory::registration>();
+}
+
 control_state::control_state(std::uint64_t group)
     : m_config(group),
       m_claims(claims::claim_limits{})
@@ -119,6 +136,14 @@
             return answer_to(m_orders.apply(index, value_of(command)));
         }
     }
+    if (entry.starts_with(departure_kind))
+    {
+        const auto report = directory::decode_departure_report(entry.substr(1));
+        if (is_ok(report))
+        {
+            m_departures.apply(index, value_of(report));
+        }
+    }
     return {};
 }
 
@@ -131,7 +156,7 @@
     out += config;
     append_length(out, claims.size());
     out += claims;
-    out += encode(m_orders);
+    out += encode(m_orders, m_departures);
     return out;
 }
 
@@ -160,6 +185,7 @@
     }
     // Snapshots written by releases without fleet orders end here.
     directory::intent orders;
+    directory::departure_table departures;
     if (!snapshot.empty())
     {
         auto decoded = directory::decode_intent(snapshot);
@@ -167,9 +193,16 @@
         {
             return error_of(decoded);
         }
+        auto departed = directory::decode_departures(snapshot);
+        if (!is_ok(departed))
+        {
+            return error_of(departed);
+        }
         orders = std::move(value_of(decoded));
+        departures = std::move(value_of(departed));
     }
     m_orders = std::move(orders);
+    m_departures = std::move(departures);
     m_config = std::move(value_of(config));
     m_claims = std::move(value_of(claims));
     return success();
--- a/libs/control/src/control_state.hpp
+++ b/libs/control/src/control_state.hpp
@@ -6,11 +6,13 @@
 #include <limpet/base/outcome.hpp>
 #include <limpet/claims/claim_table.hpp>
 #include <limpet/config/state_machine.hpp>
+#include <limpet/directory/departures.hpp>
 #include <limpet/directory/intent.hpp>
 
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace limpet::control
 {
@@ -30,9 +32,16 @@
 /// Encodes an order for the fleet as a log entry.
 std::string make_entry(const directory::command& command);
 
-/// The configuration, the claims and the operators' orders for the fleet, all
-/// built from one log. Deterministic: equal logs give equal states. Not
-/// thread-safe.
+/// Encodes departures of backend servers as a log entry. Releases without them
+/// skip it.
+std::string make_entry(const directory::departure_report& report);
+
+/// Returns the departures in the log entry, none if it is of another kind.
+std::vector<directory::registration> departures_in(std::string_view entry);
+
+/// The configuration, the claims, the operators' orders for the fleet and the
+/// departures of backend servers, all built from one log. Deterministic: equal
+/// logs give equal states. Not thread-safe.
 class control_state
 {
 public:
@@ -61,6 +70,11 @@
         return m_orders;
     }
 
+    const directory::departure_table& departures() const noexcept
+    {
+        return m_departures;
+    }
+
     /// Returns the complete state, encoded.
     std::string snapshot() const;
 
@@ -72,6 +86,7 @@
     config::state_machine m_config;
     claims::claim_table m_claims;
     directory::intent m_orders;
+    directory::departure_table m_departures;
 };
 
 } // namespace limpet::control
--- /dev/null
+++ b/libs/control/src/departure_recorder.cpp
@@ -0,0 +1,443 @@
+#include "departure_recorder.hpp"
+
+#include "control_state.hpp"
+
+#include <limpet/base/log.hpp>
+
+#include <algorithm>
+#include <iterator>
+
+namespace limpet::control
+{
+
+namespace
+{
+
+/// Time that a departure may take to be recorded. Backend servers turn to
+/// another replica after a second.
+constexpr duration answer_timeout = milliseconds(600);
+/// Time for which departures are collected before they are sent. Limits the
+/// entries of a replica to 50 a second.
+constexpr duration batch_interval = milliseconds(20);
+/// Departures in an entry, which takes the link of a replica with 6 Mbit/s 13
+/// ms for each other replica.
+constexpr std::size_t max_batch_size = 64;
+/// Time without a leader after which departures are refused at once: an
+/// election and a repetition take less.
+constexpr duration leaderless_time = seconds(2);
+/// Interval at which a leader that did not reply in time is tried again.
+constexpr duration silent_leader_interval = seconds(1);
+/// Time for which a departure is remembered, like the rows of servers that
+/// left: messages that the server sent before may be late by seconds.
+constexpr duration retention = seconds(60);
+/// Interval between two entries that let departures be forgotten.
+constexpr duration forget_interval = seconds(10);
+/// The ids of calls begin here: those of follower_reads on the same channel
+/// count from 1.
+constexpr std::uint64_t first_call_id = std::uint64_t{1} << 63U;
+
+error unavailable(std::string reason)
+{
+    return {error_code::unavailable, std::move(reason)};
+}
+
+/// Returns whether the replica that the server has reported to does not know
+/// it.
+bool is_unknown(const directory::registration& departure)
+{
+    return departure.state == directory::server_state::gone &&
+           departure.born_ms == 0;
+}
+
+} // namespace
+
+departure_recorder::departure_recorder(event_loop loop,
+                                       recorder_callbacks callbacks)
+    : m_loop(std::move(loop)),
+      m_callbacks(std::move(callbacks)),
+      m_last_id(first_call_id),
+      m_leader_known_at(m_loop.now())
+{
+}
+
+void departure_recorder::record(directory::registration departure,
+                                callback done)
+{
+    const time_point now = m_loop.now();
+    if (m_callbacks.recorded().covers(departure))
+    {
+        done(success());
+        return;
+    }
+    std::vector<waiting_departure> waiting;
+    waiting.push_back(
+        {std::move(departure), std::move(done), now + answer_timeout});
+    if (!m_running)
+    {
+        fail(std::move(waiting), unavailable("the replica stops"));
+        return;
+    }
+    if (is_refusing(now))
+    {
+        fail(std::move(waiting),
+             unavailable("no leader has recorded departures recently"));
+        return;
+    }
+    m_queue.push_back(std::move(waiting.front()));
+    schedule();
+}
+
+void departure_recorder::schedule()
+{
+    if (std::exchange(m_is_scheduled, true))
+    {
+        return;
+    }
+    m_loop.call_after(batch_interval,
+                      [this, running = std::weak_ptr(m_running)]
+                      {
+                          if (running.lock())
+                          {
+                              m_is_scheduled = false;
+                              step();
+                          }
+                      });
+}
+
+void departure_recorder::step()
+{
+    const time_point now = m_loop.now();
+    expire(now);
+    const known_leader leader = find_leader(now);
+    if (m_batch &&
+        (leader.vm != m_batch->to.vm || leader.term != m_batch->to.term))
+    {
+        return_batch();
+    }
+    if (!m_batch)
+    {
+        send_batch(now);
+    }
+    if (m_batch || !m_queue.empty())
+    {
+        schedule();
+    }
+}
+
+void departure_recorder::expire(time_point now)
+{
+    std::vector<waiting_departure> expired;
+    const auto take_expired = [now, &expired](auto& from)
+    {
+        const auto kept =
+            std::stable_partition(from.begin(),
+                                  from.end(),
+                                  [now](const waiting_departure& each)
+                                  {
+                                      return each.deadline > now;
+                                  });
+        std::move(kept, from.end(), std::back_inserter(expired));
+        from.erase(kept, from.end());
+    };
+    take_expired(m_queue);
+    if (m_batch)
+    {
+        take_expired(m_batch->waiting);
+        if (m_batch->waiting.empty())
+        {
+            m_silent_term = m_batch->to.term;
+            m_silent_until = now + silent_leader_interval;
+            m_batch.reset();
+        }
+    }
+    fail(std::move(expired), unavailable("not recorded in time"));
+}
+
+void departure_recorder::send_batch(time_point now)
+{
+    const known_leader leader = find_leader(now);
+    if (m_queue.empty() || leader.vm == vm_id())
+    {
+        return;
+    }
+    m_batch = batch{++m_last_id, leader, now, take_next()};
+    directory::departure_report report;
+    for (const waiting_departure& each : m_batch->waiting)
+    {
+        report.servers.push_back(each.departure);
+    }
+    const std::uint64_t id = m_batch->id;
+    if (leader.is_self)
+    {
+        commit(
+            std::move(report),
+            [this, id, running = std::weak_ptr(m_running)](const status& result)
+            {
+                if (running.lock())
+                {
+                    complete(id, result);
+                }
+            });
+        return;
+    }
+    const status sent = m_callbacks.send(
+        leader.vm,
+        wire::call{id, wire::call_kind::record_departures, encode(report)});
+    if (!is_ok(sent))
+    {
+        return_batch();
+    }
+}
+
+/// Returns the departures of the next batch. That of an unknown server is sent
+/// alone, as the leader may refuse it.
+std::vector<departure_recorder::waiting_departure>
+departure_recorder::take_next()
+{
+    std::vector<waiting_departure> next;
+    while (!m_queue.empty() && next.size() < max_batch_size)
+    {
+        const bool is_alone = is_unknown(m_queue.front().departure);
+        if (is_alone && !next.empty())
+        {
+            break;
+        }
+        next.push_back(std::move(m_queue.front()));
+        m_queue.pop_front();
+        if (is_alone)
+        {
+            break;
+        }
+    }
+    return next;
+}
+
+/// Puts the departures of the batch back, to be sent again.
+void departure_recorder::return_batch()
+{
+    std::vector<waiting_departure> waiting = std::move(m_batch->waiting);
+    m_batch.reset();
+    m_queue.insert(m_queue.begin(),
+                   std::make_move_iterator(waiting.begin()),
+                   std::make_move_iterator(waiting.end()));
+    schedule();
+}
+
+void departure_recorder::complete(std::uint64_t id, const status& result)
+{
+    if (is_ok(result))
+    {
+        m_silent_until = {};
+    }
+    if (!m_batch || m_batch->id != id)
+    {
+        return;
+    }
+    if (!is_ok(result) && error_of(result).code != error_code::conflict)
+    {
+        return_batch();
+        return;
+    }
+    const batch ended = std::move(*m_batch);
+    m_batch.reset();
+    if (!is_ok(result))
+    {
+        fail(ended.waiting, error_of(result));
+        return;
+    }
+    m_counts.recorded += ended.waiting.size();
+    log_event(log_level::info,
+              "departure.recorded",
+              {{"servers", ended.waiting.size()},
+               {"first", ended.waiting.front().departure.id.get()},
+               {"leader", ended.to.vm.get()},
+               {"took_ms", to_milliseconds(m_loop.now() - ended.sent_at)}});
+    for (const waiting_departure& each : ended.waiting)
+    {
+        each.done(success());
+    }
+}
+
+void departure_recorder::fail(std::vector<waiting_departure> failed,
+                              const error& reason)
+{
+    if (failed.empty())
+    {
+        return;
+    }
+    m_counts.failed += failed.size();
+    log_event(log_level::warn,
+              "departure.not_recorded",
+              {{"servers", failed.size()},
+               {"first", failed.front().departure.id.get()},
+               {"leader", m_callbacks.leader().vm.get()},
+               {"reason", reason.message}});
+    for (const waiting_departure& each : failed)
+    {
+        each.done(reason);
+    }
+}
+
+void departure_recorder::receive(const vm_id& from, const wire::call& request)
+{
+    const auto reply = [this, from, id = request.id](const status& result)
+    {
+        wire::reply answer;
+        answer.id = id;
+        answer.result = is_ok(result) ? outcome<std::string>(std::string())
+                                      : outcome<std::string>(error_of(result));
+        const status sent = m_callbacks.send(from, answer);
+        if (!is_ok(sent))
+        {
+            log_event(
+                log_level::warn,
+                "departure.reply_lost",
+                {{"peer", from.get()}, {"reason", error_of(sent).message}});
+        }
+    };
+    auto report = directory::decode_departure_report(request.payload);
+    if (!is_ok(report))
+    {
+        reply(error_of(report));
+        return;
+    }
+    commit(std::move(value_of(report)), reply);
+}
+
+void departure_recorder::commit(directory::departure_report report,
+                                callback done)
+{
+    for (directory::registration& each : report.servers)
+    {
+        const status known = resolve(each);
+        if (!is_ok(known))
+        {
+            done(known);
+            return;
+        }
+    }
+    std::erase_if(report.servers,
+                  [this](const directory::registration& each)
+                  {
+                      return m_callbacks.recorded().covers(each);
+                  });
+    if (report.servers.empty())
+    {
+        done(success());
+        return;
+    }
+    m_callbacks.propose(
+        make_entry(report),
+        [done = std::move(done)](const outcome<replica::proposal_result>& end)
+        {
+            done(is_ok(end) ? success() : status(error_of(end)));
+        });
+}
+
+status departure_recorder::resolve(directory::registration& departure) const
+{
+    if (!is_unknown(departure) || m_callbacks.recorded().covers(departure))
+    {
+        return success();
+    }
+    const auto& servers = m_callbacks.servers();
+    if (servers.is_start_ambiguous(departure.id, m_loop.now()))
+    {
+        return error{error_code::conflict,
+                     "the server has started again a short time ago"};
+    }
+    const auto* known = servers.find(departure.id);
+    // No start of an unknown server is later than now.
+    departure.born_ms =
+        known == nullptr ? m_callbacks.unix_ms() : known->born_ms;
+    return success();
+}
+
+void departure_recorder::receive(const wire::reply& answer)
+{
+    complete(answer.id,
+             is_ok(answer.result) ? success()
+                                  : status(error_of(answer.result)));
+}
+
+void departure_recorder::on_lost(const vm_id& peer)
+{
+    if (m_batch && m_batch->to.vm == peer)
+    {
+        return_batch();
+    }
+}
+
+known_leader departure_recorder::find_leader(time_point now)
+{
+    const known_leader leader = m_callbacks.leader();
+    if (leader.vm != vm_id())
+    {
+        m_leader_known_at = now;
+    }
+    return leader;
+}
+
+bool departure_recorder::is_refusing(time_point now)
+{
+    const known_leader leader = find_leader(now);
+    return leader.vm == vm_id()
+               ? now >= m_leader_known_at + leaderless_time
+               : leader.term == m_silent_term && now < m_silent_until;
+}
+
+void departure_recorder::update()
+{
+    const time_point now = m_loop.now();
+    const known_leader leader = find_leader(now);
+    note_recorded_index(now);
+    const std::uint64_t oldest = m_callbacks.recorded().first_index();
+    if (!leader.is_self || oldest == 0 || oldest > m_expired_index ||
+        now < m_next_forgetting)
+    {
+        return;
+    }
+    m_next_forgetting = now + forget_interval;
+    directory::departure_report report;
+    report.forgotten_index = m_expired_index;
+    m_callbacks.propose(
+        make_entry(report),
+        [forgotten =
+             m_expired_index](const outcome<replica::proposal_result>& done)
+        {
+            log_event(log_level::info,
+                      "departure.forgotten",
+                      {{"index", forgotten},
+                       {"reason", is_ok(done) ? "" : error_of(done).message}});
+        });
+}
+
+void departure_recorder::note_recorded_index(time_point now)
+{
+    const std::uint64_t newest = m_callbacks.recorded().last_index();
+    if (newest > m_noted_index)
+    {
+        m_noted_index = newest;
+        m_recorded.emplace_back(now, newest);
+    }
+    while (!m_recorded.empty() && m_recorded.front().first <= now - retention)
+    {
+        m_expired_index = m_recorded.front().second;
+        m_recorded.pop_front();
+    }
+}
+
+void departure_recorder::stop()
+{
+    m_running.reset();
+    std::vector<waiting_departure> waiting;
+    if (m_batch)
+    {
+        return_batch();
+    }
+    std::move(m_queue.begin(), m_queue.end(), std::back_inserter(waiting));
+    m_queue.clear();
+    fail(std::move(waiting), unavailable("the replica stops"));
+}
+
+} // namespace limpet::control
--- a/libs/control/src/directory_feed.cpp
+++ b/libs/control/src/directory_feed.cpp
@@ -214,17 +214,7 @@
     bool is_change = false;
     for (const directory::registration& each : frame.registrations)
     {
-        const bool has_changed =
-            m_table.merge(each) == directory::merge_result::changed;
-        is_change |= has_changed;
-        if (has_changed && is_leaving(each))
-        {
-            log_event(log_level::info,
-                      "server.leaves",
-                      {{"engine", each.id.get()},
-                       {"state", to_string(each.state)},
-                       {"replica", from.get()}});
-        }
+        is_change |= merge_registration(each, from.get());
     }
     for (const directory::heartbeat& each : frame.heartbeats)
     {
@@ -236,6 +226,38 @@
     }
 }
 
+bool directory_feed::merge_registration(const directory::registration& row,
+                                        std::string_view source)
+{
+    const bool has_changed =
+        m_table.merge(row) == directory::merge_result::changed;
+    if (has_changed && is_leaving(row))
+    {
+        log_event(log_level::info,
+                  "server.leaves",
+                  {{"engine", row.id.get()},
+                   {"state", to_string(row.state)},
+                   {"replica", source}});
+    }
+    return has_changed;
+}
+
+void directory_feed::take_departures(
+    const std::vector<directory::registration>& departed)
+{
+    const work_meter::timer work(m_meter, work_kind::registration);
+    bool is_change = false;
+    for (directory::registration each : departed)
+    {
+        each.heard_at = m_loop.now();
+        is_change |= merge_registration(each, "log");
+    }
+    if (is_change)
+    {
+        request_updates();
+    }
+}
+
 void directory_feed::update_subscriber(const wire::link_identity& from,
                                        const directory::update& frame)
 {
--- a/libs/control/src/directory_feed.hpp
+++ b/libs/control/src/directory_feed.hpp
@@ -86,6 +86,10 @@
     /// take().
     directory::merge_result leave(const engine_id& id);
 
+    /// Merges departures from the replicated log, which every replica has. Each
+    /// sends them to the routers assigned to it.
+    void take_departures(const std::vector<directory::registration>& departed);
+
     const directory::registration_table& registrations() const noexcept
     {
         return m_table;
@@ -194,6 +198,9 @@
     /// Returns how long this replica has known all registrations.
     duration history(time_point now) const;
     void merge_registrations(const vm_id& from, const directory::update& frame);
+    /// Returns whether the registration of another replica is a change.
+    bool merge_registration(const directory::registration& row,
+                            std::string_view source);
     void update_subscriber(const wire::link_identity& from,
                            const directory::update& frame);
     /// Sends the changes that are due at the subscriber. If there are
--- a/libs/control/src/order_service.cpp
+++ b/libs/control/src/order_service.cpp
@@ -24,12 +24,14 @@
                              replica::replica& log,
                              directory_feed& feed,
                              follower_reads& reads,
+                             departure_recorder& departures,
                              vm_ports self,
                              std::optional<duration> rollout_repeat_time)
     : m_state(state),
       m_log(log),
       m_feed(feed),
       m_reads(reads),
+      m_departures(departures),
       m_self(std::move(self)),
       m_rollouts(state, log, feed),
       m_rollout_repeat_time(rollout_repeat_time)
@@ -253,12 +255,31 @@
 directory::merge_result
 order_service::take(const directory::registration& reported)
 {
-    return m_feed.take(reported);
+    const directory::merge_result result = m_feed.take(reported);
+    // A server that drains repeats it with each heartbeat.
+    if (reported.state == directory::server_state::draining &&
+        result == directory::merge_result::changed)
+    {
+        record(reported);
+    }
+    return result;
 }
 
 directory::merge_result order_service::leave(const engine_id& id)
 {
-    return m_feed.leave(id);
+    const directory::merge_result result = m_feed.leave(id);
+    const auto* known = m_feed.registrations().find(id);
+    if (known != nullptr && result != directory::merge_result::ambiguous)
+    {
+        record(*known);
+    }
+    return result;
+}
+
+void order_service::record(const directory::registration& departing)
+{
+    m_departures.record(directory::departure_of(departing),
+                        [](const status& /*done*/) {});
 }
 
 std::optional<net::ip::tcp::endpoint> order_service::leader() const
--- a/libs/control/src/order_service.hpp
+++ b/libs/control/src/order_service.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "control_state.hpp"
+#include "departure_recorder.hpp"
 #include "directory_feed.hpp"
 #include "follower_reads.hpp"
 #include "rollout_service.hpp"
@@ -34,6 +35,7 @@
                   replica::replica& log,
                   directory_feed& feed,
                   follower_reads& reads,
+                  departure_recorder& departures,
                   vm_ports self,
                   std::optional<duration> rollout_repeat_time);
 
@@ -79,6 +81,8 @@
     boost::asio::awaitable<outcome<replica::proposal_result>>
     propose(const directory::command& order);
 
+    void record(const directory::registration& departing);
+
     /// Returns once this replica has applied all orders that were acknowledged
     /// before. Errors: not_leader or unavailable if it cannot tell.
     boost::asio::awaitable<status> read_barrier();
@@ -89,6 +93,7 @@
     replica::replica& m_log;
     directory_feed& m_feed;
     follower_reads& m_reads;
+    departure_recorder& m_departures;
     vm_ports m_self;
     rollout_service m_rollouts;
     std::optional<duration> m_rollout_repeat_time;
--- a/libs/control/src/replica_metrics.cpp
+++ b/libs/control/src/replica_metrics.cpp
@@ -104,6 +104,9 @@
     write(out, "document_version", metrics.document_version);
     write(out, "routers", metrics.routers);
     write(out, "servers", metrics.servers);
+    write(out, "departures", metrics.departures);
+    write(out, "departures_recorded_total", metrics.departed.recorded);
+    write(out, "departures_failed_total", metrics.departed.failed);
     if (metrics.sent != nullptr)
     {
         write_traffic(out, *metrics.sent);
--- a/libs/control/src/replica_metrics.hpp
+++ b/libs/control/src/replica_metrics.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "content_meter.hpp"
+#include "departure_recorder.hpp"
 #include "work_meter.hpp"
 
 #include <limpet/replica/replica.hpp>
@@ -27,6 +28,10 @@
     /// Number of subscribed routers and of known backend servers.
     std::size_t routers = 0;
     std::size_t servers = 0;
+    /// Number of remembered departures of backend servers, and those reported
+    /// to this replica.
+    std::size_t departures = 0;
+    departure_counts departed;
     /// Frames and bytes exchanged with other processes; may be null.
     const wire::traffic_counters* sent = nullptr;
     /// What the frames of the feeds held; may be null.
--- a/libs/directory/include/limpet/directory/intent.hpp
+++ b/libs/directory/include/limpet/directory/intent.hpp
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include <limpet/directory/departures.hpp>
 #include <limpet/directory/plan.hpp>
 #include <limpet/directory/stored_document.hpp>
 #include <limpet/directory/text_delta.hpp>
@@ -107,10 +108,14 @@
     order_result advance_rollout(const command& order);
 };
 
-/// Encodes the state as a snapshot.
-std::string encode(const intent& state);
+/// Encodes the state and the departures as a snapshot.
+std::string encode(const intent& state, const departure_table& departures = {});
 
-/// Decodes a snapshot. Errors: malformed, corrupt.
+/// Decodes the state of a snapshot. Errors: malformed, corrupt.
 outcome<intent> decode_intent(std::string_view bytes);
 
+/// Decodes the departures of a snapshot; none if a former release wrote it.
+/// Errors: malformed.
+outcome<departure_table> decode_departures(std::string_view bytes);
+
 } // namespace limpet::directory
--- a/libs/directory/include/limpet/directory/registration.hpp
+++ b/libs/directory/include/limpet/directory/registration.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -62,6 +63,7 @@
     refreshed, ///< Only a heartbeat: no relevant field changed.
     stale,     ///< Ignored, as it is older than the entry.
     full,      ///< Ignored, as the table is full and does not know the server.
+    ambiguous, ///< Ignored, as it may concern an earlier start of the server.
 };
 
 std::string_view to_string(merge_result result) noexcept;
@@ -99,6 +101,10 @@
     /// replaced while their rows are retained.
     static constexpr std::size_t max_servers = 30'000;
 
+    /// Time for which a message of an earlier start may arrive after the first
+    /// registration of a later one.
+    static constexpr duration late_message_time = seconds(5);
+
     using visitor = std::function<void(const registration&)>;
     /// Takes a registration and the number of its last change.
     using change_visitor =
@@ -118,7 +124,8 @@
         return m_rows_examined;
     }
 
-    /// Merges a registration from a server or another replica.
+    /// Merges a registration from a server or another replica. One that is gone
+    /// and has no address tells only that, and leaves the other fields.
     merge_result merge(const registration& incoming);
 
     /// Records the heartbeat, unless the server is unknown or gone. Returns
@@ -126,9 +133,14 @@
     bool record_heartbeat(const heartbeat& incoming);
 
     /// Marks the server as gone after it deregistered. Returns stale if it is
-    /// unknown or already gone.
+    /// unknown or already gone, and ambiguous if it has started again within
+    /// late_message_time: a deregistration does not tell which start sent it.
     merge_result leave(const engine_id& id, time_point now);
 
+    /// Returns whether a deregistration of the server may be one of an earlier
+    /// start; see leave().
+    bool is_start_ambiguous(const engine_id& id, time_point now) const;
+
     /// Marks ready servers as silent if their last heartbeat came before
     /// `since`.
     void mark_silent(time_point since);
@@ -174,6 +186,8 @@
         std::uint64_t key = 0;
         /// What the entry adds to its digest of the table.
         std::uint32_t digest = 0;
+        /// When this start replaced an earlier one under the same id.
+        std::optional<time_point> replaced_at;
     };
 
     /// Numbers a change of the entry.
--- a/libs/directory/src/intent.cpp
+++ b/libs/directory/src/intent.cpp
@@ -1,4 +1,5 @@
 #include "directory_generated.h"
+#include "flatbuffer_departures.hpp"
 #include "flatbuffer_rollouts.hpp"
 #include "flatbuffer_text.hpp"
 #include "flatbuffer_versions.hpp"
@@ -241,7 +242,7 @@
     return order_result::changed;
 }
 
-std::string encode(const intent& state)
+std::string encode(const intent& state, const departure_table& departures)
 {
     flatbuffers::FlatBufferBuilder builder;
     const auto evacuated = write_texts(builder, state.taken_out);
@@ -250,16 +251,29 @@
                        : flatbuffers::Offset<flatbuffers::String>();
     const auto versions = write_versions(builder, state.versions);
     const auto rollouts = write_rollouts(builder, state.rollouts);
+    const auto departed = write_departures(builder, departures);
     builder.Finish(fb::Createsnapshot(builder,
                                       state.index,
                                       state.version.get(),
                                       document,
                                       evacuated,
                                       versions,
-                                      rollouts));
+                                      rollouts,
+                                      departed));
     return bytes_of(builder);
 }
 
+outcome<departure_table> decode_departures(std::string_view bytes)
+{
+    const std::string aligned(bytes);
+    const auto* from = read_root<fb::snapshot>(aligned);
+    if (from == nullptr)
+    {
+        return error{malformed, "malformed snapshot of the departures"};
+    }
+    return read_departures(from->departures());
+}
+
 outcome<intent> decode_intent(std::string_view bytes)
 {
     const std::string aligned(bytes);
--- a/libs/directory/src/registration.cpp
+++ b/libs/directory/src/registration.cpp
@@ -46,6 +46,24 @@
            current.version != incoming.version || cold_changed;
 }
 
+/// Returns whether the registration has only what identifies a server that is
+/// gone.
+bool is_partial(const registration& each)
+{
+    return each.state == server_state::gone && each.address.empty();
+}
+
+/// Returns the partial registration with the other fields of the current one.
+registration complete(const registration& partial, const registration& current)
+{
+    registration result = current;
+    result.born_ms = partial.born_ms;
+    result.sequence = partial.sequence;
+    result.state = partial.state;
+    result.heard_at = partial.heard_at;
+    return result;
+}
+
 /// Returns a hash of the fields whose change is sent to routers, except the
 /// end of a cold period, of which each copy is slightly different.
 std::uint32_t digest_of(const registration& each)
@@ -112,6 +130,8 @@
         return "stale";
     case merge_result::full:
         return "full";
+    case merge_result::ambiguous:
+        return "ambiguous";
     }
     return "unknown";
 }
@@ -119,6 +139,11 @@
 merge_result registration_table::merge(const registration& incoming)
 {
     const auto found = m_entries.find(incoming.id);
+    if (found != m_entries.end() && is_partial(incoming) &&
+        !found->second.value.address.empty())
+    {
+        return merge(complete(incoming, found->second.value));
+    }
     if (found == m_entries.end() && m_entries.size() >= max_servers)
     {
         return merge_result::full;
@@ -142,6 +167,11 @@
         return merge_result::stale;
     }
     const bool is_change = differs(current, incoming);
+    if (incoming.born_ms > current.born_ms &&
+        incoming.state != server_state::gone)
+    {
+        found->second.replaced_at = incoming.heard_at;
+    }
     const time_point heard_at = std::max(current.heard_at, incoming.heard_at);
     // The remaining cold time is sent as a span that counts from its arrival,
     // so the copy with the shortest delay is the most accurate.
@@ -237,6 +267,16 @@
     return true;
 }
 
+bool registration_table::is_start_ambiguous(const engine_id& id,
+                                            time_point now) const
+{
+    const auto found = m_entries.find(id);
+    return found != m_entries.end() &&
+           found->second.value.state != server_state::gone &&
+           found->second.replaced_at &&
+           now < *found->second.replaced_at + late_message_time;
+}
+
 merge_result registration_table::leave(const engine_id& id, time_point now)
 {
     const auto found = m_entries.find(id);
@@ -245,6 +285,10 @@
     {
         return merge_result::stale;
     }
+    if (is_start_ambiguous(id, now))
+    {
+        return merge_result::ambiguous;
+    }
     found->second.value.state = server_state::gone;
     found->second.value.heard_at = now;
     record_change(found->second);
--- a/libs/directory/test/registration_test.cpp
+++ b/libs/directory/test/registration_test.cpp
@@ -85,6 +85,57 @@
     BOOST_TEST((state_of(table, "a") == server_state::ready));
 }
 
+/// Departures in the log tell who has left, not where the server was.
+BOOST_AUTO_TEST_CASE(departure_without_an_address_leaves_the_other_fields)
+{
+    registration departure;
+    departure.id = engine_id("a");
+    departure.born_ms = 1000;
+    departure.state = server_state::gone;
+    departure.heard_at = start_time;
+    registration_table table;
+    table.merge(make_registration("a", 3));
+    BOOST_TEST((table.merge(departure) == merge_result::changed));
+    BOOST_TEST((state_of(table, "a") == server_state::gone));
+    BOOST_TEST(table.find(departure.id)->address == "10.0.0.1:80");
+    BOOST_TEST((table.merge(departure) == merge_result::refreshed));
+    BOOST_TEST((table.merge(make_registration("a", 9)) == merge_result::stale));
+}
+
+BOOST_AUTO_TEST_CASE(departure_of_an_unknown_server_bars_its_late_heartbeats)
+{
+    registration departure;
+    departure.id = engine_id("a");
+    departure.born_ms = 1000;
+    departure.state = server_state::gone;
+    departure.heard_at = start_time;
+    registration_table table;
+    BOOST_TEST((table.merge(departure) == merge_result::changed));
+    BOOST_TEST((table.merge(make_registration("a", 9)) == merge_result::stale));
+    registration restarted = make_registration("a", 1);
+    restarted.born_ms = 1001;
+    BOOST_TEST((table.merge(restarted) == merge_result::changed));
+    BOOST_TEST((state_of(table, "a") == server_state::ready));
+}
+
+/// Guards against a repeated deregistration that arrives after its server has
+/// started again: it does not tell which start sent it.
+BOOST_AUTO_TEST_CASE(deregistration_shortly_after_a_later_start_is_ambiguous)
+{
+    constexpr duration late = registration_table::late_message_time;
+    registration_table table;
+    table.merge(make_registration("a", 3));
+    registration restarted = make_registration("a", 1);
+    restarted.born_ms = 2000;
+    table.merge(restarted);
+    BOOST_TEST((table.leave(restarted.id, start_time + late / 2) ==
+                merge_result::ambiguous));
+    BOOST_TEST((state_of(table, "a") == server_state::ready));
+    BOOST_TEST((table.leave(restarted.id, start_time + late) ==
+                merge_result::changed));
+    BOOST_TEST((state_of(table, "a") == server_state::gone));
+}
+
 BOOST_AUTO_TEST_CASE(later_server_at_the_address_replaces_the_earlier)
 {
     registration_table table;
--- a/libs/replica/src/replica_impl.cpp
+++ b/libs/replica/src/replica_impl.cpp
@@ -125,6 +125,7 @@
         m_snapshot = start_settings.state.base->index;
         m_applied = is_ok(restored) ? m_snapshot : log_index{};
     }
+    report_stored(start_settings.state.entries);
     start_settings.self = m_settings.self;
     start_settings.group = m_settings.group;
     start_settings.may_found = m_settings.may_found;
@@ -346,6 +347,10 @@
 
 void replica::impl::execute(consensus::actions work)
 {
+    for (const consensus::persist_request& each : work.persists)
+    {
+        report_stored(each.entries);
+    }
     if (!work.persists.empty())
     {
         m_writes.emplace_back(work.persists.back().number,
@@ -360,6 +365,22 @@
     take_snapshot_if_due();
 }
 
+void replica::impl::report_stored(
+    const std::vector<storage::log_entry>& entries) const
+{
+    if (!m_callbacks.stored)
+    {
+        return;
+    }
+    for (const storage::log_entry& each : entries)
+    {
+        if (each.kind == storage::entry_kind::command)
+        {
+            m_callbacks.stored(each.data);
+        }
+    }
+}
+
 void replica::impl::apply(const consensus::actions& work)
 {
     if (work.restore)
--- a/libs/replica/src/replica_impl.hpp
+++ b/libs/replica/src/replica_impl.hpp
@@ -51,6 +51,7 @@
     void flush_proposals();
     void dispatch(consensus::event event);
     void execute(consensus::actions work);
+    void report_stored(const std::vector<storage::log_entry>& entries) const;
     void apply(const consensus::actions& work);
     void complete_request(const consensus::request_result& result,
                           std::string text);
--- a/libs/wire/include/limpet/wire/call_message.hpp
+++ b/libs/wire/include/limpet/wire/call_message.hpp
@@ -19,6 +19,8 @@
 {
     claim,        ///< Payload: claims command; reply: claims answer.
     newest_index, ///< Reply: index of the newest acknowledged log entry.
+    /// Payload: a report of departures. Releases without them do not reply.
+    record_departures,
 };
 
 /// A call to a control replica. The caller may retry it with the same id.
--- a/libs/wire/src/call_message.cpp
+++ b/libs/wire/src/call_message.cpp
@@ -53,7 +53,7 @@
 
 outcome<call_message> read_call(const fbs::call& table)
 {
-    if (table.kind() > static_cast<std::uint8_t>(call_kind::newest_index))
+    if (table.kind() > static_cast<std::uint8_t>(call_kind::record_departures))
     {
         return error{error_code::malformed, "unknown call kind"};
     }
--- /dev/null
+++ b/tests/soak/departures.py
@@ -0,0 +1,230 @@
+"""Runs the real programs while servers leave and replicas are lost.
+
+    departures.py BINARIES [--seed N] [--seeds N] [--case NAME]... [--net N]
+
+A server that was told that its departure is acknowledged gets no request later
+than the platform allows, whichever replicas end after the acknowledgement and
+whatever arrives late. Exits with 1 if one does.
+"""
+
+import argparse
+import asyncio
+import os
+import shutil
+import signal
+import sys
+import tempfile
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path[:0] = [HERE, os.path.join(HERE, "..", "..", "platform", "test")]
+
+import platform_peer as peer  # noqa: E402
+import processes  # noqa: E402
+import servers  # noqa: E402
+import transport  # noqa: E402
+import world as fleet  # noqa: E402
+
+SIZES = {"replicas": 4, "routers": 4, "servers": 0, "callers": 0}
+SERVERS = 12
+# Of the platform's sheets. A server is taken for silent after five of them.
+HEARTBEAT_S = 1.2
+# Between two requests, through the routers in turn.
+GAP_S = 0.006
+# For which the fleet runs before a server leaves, and a server that has left
+# goes on to serve.
+BEFORE_S = 2.0
+SERVES_S = 8.0
+# How long all are down, and how late a message arrives.
+ALL_DOWN_S = 0.95
+LATE_S = 3.0
+# A server that starts again gets requests so soon.
+SERVED_WITHIN_S = 2.0
+
+
+class Leaver:
+    """A server that leaves, and what it sends to chosen replicas."""
+
+    def __init__(self, world, server):
+        self.world = world
+        self.server = server
+        self.acked_at = None
+
+    async def call(self, replica, method, body=""):
+        """Returns the status, None if no answer came."""
+        host, port = self.world.replicas[replica].settings[
+            "operators"].split(":")
+        try:
+            status, _, _ = await transport.call(
+                (host, int(port)), method,
+                peer.registration_path(self.server.name), body, {}, 1.0)
+        except transport.Broken:
+            status = None
+        self.world.record.note(f"{self.server.name} {method} at {replica}: "
+                               f"{status}")
+        return status
+
+    def report(self, state):
+        """Returns the server's next heartbeat."""
+        server = self.server
+        server.sequence += 1
+        return peer.registration(
+            server.service, "%s:%d" % server.place[1], server.data_centre,
+            server.version, state, server.sequence, server.born_ms)
+
+    async def leave(self, replica):
+        self.server.beats.cancel()
+        if await self.call(replica, "DELETE") == 200:
+            self.acked_at = self.world.record.now()
+        return self.acked_at is not None
+
+    async def drain(self, replica):
+        """Says once that it drains."""
+        self.server.beats.cancel()
+        if await self.call(replica, "PUT", self.report("draining")) == 200:
+            self.acked_at = self.world.record.now()
+        return self.acked_at is not None
+
+    def late_runs(self):
+        since = self.acked_at + self.world.bounds["drain_s"]
+        return sorted(
+            when - self.acked_at
+            for runs in self.world.record.runs.values()
+            for name, when in runs
+            if name == self.server.name and when > since)
+
+
+def end(world, names, number=signal.SIGKILL):
+    for name in names:
+        world.record.disturb(name)
+        {**world.replicas, **world.routers}[name].signal(number)
+
+
+async def all_restarted(world, leavers):
+    """All processes end after the acknowledgement; then heartbeats arrive that
+    were sent before."""
+    processes.RESTART_S = ALL_DOWN_S
+    names = list(world.replicas)
+    world.random.shuffle(names)
+    beats = [each.report("ready") for each in leavers]
+    states = [await leavers[0].leave(names[0]),
+              await leavers[1].drain(names[1])]
+    await asyncio.sleep(0.3)
+    end(world, [*world.replicas, *world.routers])
+    await asyncio.sleep(world.random.choice((1.2, LATE_S)))
+    for each, beat in zip(leavers, beats):
+        await each.call(names[2], "PUT", beat)
+    return all(states)
+
+
+async def server_restarted(world, leavers):
+    """A server that has left starts again under its name; its former
+    deregistration and a heartbeat arrive again, late."""
+    names = list(world.replicas)
+    world.random.shuffle(names)
+    leaver = leavers[0]
+    beat = leaver.report("ready")
+    if not await leaver.leave(names[0]):
+        return False
+    server = leaver.server
+    await asyncio.sleep(0.2)
+    await server.crash()
+    former, leavers[:] = server.name, []
+    again = await world.add_server(server.number, "desk")
+    again.name = former
+    started_at = world.record.now()
+    await asyncio.sleep(world.random.uniform(0.5, LATE_S))
+    for name in names[1:]:
+        await leaver.call(name, "PUT", beat)
+        await leaver.call(name, "DELETE")
+    await asyncio.sleep(SERVED_WITHIN_S)
+    runs = sorted(when for each in world.record.runs.values()
+                  for name, when in each
+                  if name == former and when > started_at)
+    if not runs or runs[0] > started_at + SERVED_WITHIN_S or \
+            runs[-1] < world.record.now() - 0.5:
+        world.record.fail("SERVED", f"{former} is not served after its start")
+    return True
+
+
+CASES = {each.__name__: each for each in (all_restarted, server_restarted)}
+
+
+async def send_requests(world):
+    """Sends requests to the routers in turn."""
+    async def send(router):
+        try:
+            await world.probe(router, "/repeat/x")
+        except (transport.Broken, OSError, asyncio.TimeoutError):
+            pass
+
+    tasks = set()
+    routers = list(world.routers)
+    while not world.is_over:
+        task = asyncio.create_task(
+            send(routers[world.random.randrange(len(routers))]))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        await asyncio.sleep(GAP_S)
+    await asyncio.gather(*tasks)
+
+
+async def play(world, case):
+    try:
+        start = asyncio.create_task(world.start())
+        desks = [await world.add_server(n, "desk")
+                 for n in range(1, SERVERS + 1)]
+        await world.add_server(SERVERS + 1, "model")
+        await start
+        load = asyncio.create_task(send_requests(world))
+        await asyncio.sleep(BEFORE_S)
+        leavers = [Leaver(world, each) for each in desks[:2]]
+        is_acked = await CASES[case](world, leavers)
+        if not is_acked:
+            world.record.fail("ACK", "a departure was not acknowledged")
+        await asyncio.sleep(SERVES_S if leavers and is_acked else 0.0)
+        for each in leavers if is_acked else []:
+            late = each.late_runs()
+            if late:
+                world.record.fail(
+                    "DRAIN", f"{each.server.name} gets {len(late)} requests "
+                    f"{late[0]:.2f} to {late[-1]:.2f} s after it had left")
+        world.is_over = True
+        await load
+    finally:
+        await world.abandon()
+
+
+def run(options, case, seed):
+    folder = tempfile.mkdtemp(prefix="departures-")
+    processes.RESTART_S = 0.2
+    servers.HEARTBEAT_S = HEARTBEAT_S
+    world = fleet.World(os.path.abspath(options.binaries), folder,
+                        options.net, seed, SIZES)
+    asyncio.run(play(world, case))
+    print(f"seed {seed}, {case}: {len(world.record.runs)} requests, "
+          f"{'BROKEN' if world.record.broken else 'held'}", flush=True)
+    for line, request in world.record.broken[:5]:
+        print(f"  BROKEN {line} {request}")
+    if world.record.broken:
+        print("  " + "\n  ".join(world.record.events[-20:]))
+        print(f"  logs: {folder}", flush=True)
+        return 1
+    shutil.rmtree(folder)
+    return 0
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("binaries")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--case", action="append", choices=CASES)
+    parser.add_argument("--net", type=int, default=68)
+    options = parser.parse_args()
+    return max(run(options, case, seed)
+               for seed in range(options.seed, options.seed + options.seeds)
+               for case in options.case or CASES)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
