Control: departures of servers are acknowledged once a majority has them

Cause: 200 was sent when one process knew. The second change waits for the next round of updates, 50 to 500 ms later; a replica without the row dropped the deregistration. server.leaves names the first server at the other replicas and never the second, which refutes that they heard of it or that a link lost it.

Change: the answer waits for the group's log, 0.6 s at most, and is 503 if it is not known by then. The same for draining, which the next heartbeat repairs only after 1.2 to 2.2 s. The leader finds the start of a server that the replica does not know, or takes all starts up to now for gone; one that started again within 5 s is refused. Many departures share an entry.

--- a/libs/control/include/limpet/control/fleet_orders.hpp
+++ b/libs/control/include/limpet/control/fleet_orders.hpp
@@ -63,12 +63,25 @@
     virtual std::optional<directory::document_version>
     version_in_force() const = 0;
 
-    /// Merges a registration that a backend server reported.
+    /// Merges a registration that a backend server reported. It is in force at
+    /// this replica, and is sent to the others, but the loss of this replica
+    /// may lose it.
     virtual directory::merge_result
     take(const directory::registration& reported) = 0;
 
-    /// Records that a backend server has deregistered.
-    virtual directory::merge_result leave(const engine_id& id) = 0;
+    /// Returns once a majority of the group has stored that the server drains,
+    /// as take() has merged with the result: from then on no loss that the
+    /// group survives lets it get requests again. Errors: unavailable if this
+    /// is unknown; it is in force at this replica nonetheless.
+    virtual boost::asio::awaitable<status>
+    record_draining(const directory::registration& reported,
+                    directory::merge_result taken) = 0;
+
+    /// Deregisters a backend server. Returns once a majority of the group has
+    /// stored it, like record_draining(). Errors: unavailable like it; conflict
+    /// if the server has started again a short time ago, so that an earlier
+    /// start may have sent the deregistration, which has no effect.
+    virtual boost::asio::awaitable<status> leave(const engine_id& id) = 0;
 
     /// Returns the operators' address of the leader if another replica is
     /// known to be the leader.
--- a/libs/control/src/departure_recorder.cpp
+++ b/libs/control/src/departure_recorder.cpp
@@ -41,6 +41,12 @@
     return {error_code::unavailable, std::move(reason)};
 }
 
+error started_again()
+{
+    return {error_code::conflict,
+            "the server has started again a short time ago"};
+}
+
 /// Returns whether the replica that the server has reported to does not know
 /// it.
 bool is_unknown(const directory::registration& departure)
@@ -169,15 +175,15 @@
     const std::uint64_t id = m_batch->id;
     if (leader.is_self)
     {
-        commit(
-            std::move(report),
-            [this, id, running = std::weak_ptr(m_running)](const status& result)
-            {
-                if (running.lock())
-                {
-                    complete(id, result);
-                }
-            });
+        commit(std::move(report),
+               [this, id, running = std::weak_ptr(m_running)](
+                   const batch_result& result)
+               {
+                   if (running.lock())
+                   {
+                       complete(id, result);
+                   }
+               });
         return;
     }
     const status sent = m_callbacks.send(
@@ -189,26 +195,15 @@
     }
 }
 
-/// Returns the departures of the next batch. That of an unknown server is sent
-/// alone, as the leader may refuse it.
 std::vector<departure_recorder::waiting_departure>
 departure_recorder::take_next()
 {
-    std::vector<waiting_departure> next;
-    while (!m_queue.empty() && next.size() < max_batch_size)
-    {
-        const bool is_alone = is_unknown(m_queue.front().departure);
-        if (is_alone && !next.empty())
-        {
-            break;
-        }
-        next.push_back(std::move(m_queue.front()));
-        m_queue.pop_front();
-        if (is_alone)
-        {
-            break;
-        }
-    }
+    const auto end =
+        m_queue.begin() +
+        static_cast<std::ptrdiff_t>(std::min(m_queue.size(), max_batch_size));
+    std::vector<waiting_departure> next(
+        std::make_move_iterator(m_queue.begin()), std::make_move_iterator(end));
+    m_queue.erase(m_queue.begin(), end);
     return next;
 }
 
@@ -223,7 +218,7 @@
     schedule();
 }
 
-void departure_recorder::complete(std::uint64_t id, const status& result)
+void departure_recorder::complete(std::uint64_t id, const batch_result& result)
 {
     if (is_ok(result))
     {
@@ -233,29 +228,47 @@
     {
         return;
     }
-    if (!is_ok(result) && error_of(result).code != error_code::conflict)
+    if (!is_ok(result))
     {
         return_batch();
         return;
     }
     const batch ended = std::move(*m_batch);
     m_batch.reset();
-    if (!is_ok(result))
+    complete(ended, value_of(result));
+}
+
+void departure_recorder::complete(
+    const batch& ended, const std::vector<directory::registration>& refused)
+{
+    std::vector<waiting_departure> failed;
+    std::vector<waiting_departure> recorded;
+    for (const waiting_departure& each : ended.waiting)
     {
-        fail(ended.waiting, error_of(result));
-        return;
+        const bool is_refused =
+            std::any_of(refused.begin(),
+                        refused.end(),
+                        [&each](const directory::registration& other)
+                        {
+                            return other.id == each.departure.id;
+                        });
+        (is_refused ? failed : recorded).push_back(each);
     }
-    m_counts.recorded += ended.waiting.size();
-    log_event(log_level::info,
-              "departure.recorded",
-              {{"servers", ended.waiting.size()},
-               {"first", ended.waiting.front().departure.id.get()},
-               {"leader", ended.to.vm.get()},
-               {"took_ms", to_milliseconds(m_loop.now() - ended.sent_at)}});
-    for (const waiting_departure& each : ended.waiting)
+    if (!recorded.empty())
+    {
+        m_counts.recorded += recorded.size();
+        log_event(log_level::info,
+                  "departure.recorded",
+                  {{"servers", recorded.size()},
+                   {"first", recorded.front().departure.id.get()},
+                   {"leader", ended.to.vm.get()},
+                   {"took_ms", to_milliseconds(m_loop.now() - ended.sent_at)}});
+    }
+    for (const waiting_departure& each : recorded)
     {
         each.done(success());
     }
+    fail(std::move(failed), started_again());
 }
 
 void departure_recorder::fail(std::vector<waiting_departure> failed,
@@ -280,12 +293,15 @@
 
 void departure_recorder::receive(const vm_id& from, const wire::call& request)
 {
-    const auto reply = [this, from, id = request.id](const status& result)
+    const auto reply = [this, from, id = request.id](const batch_result& result)
     {
         wire::reply answer;
         answer.id = id;
-        answer.result = is_ok(result) ? outcome<std::string>(std::string())
-                                      : outcome<std::string>(error_of(result));
+        answer.result =
+            is_ok(result)
+                ? outcome<std::string>(
+                      encode(directory::departure_report{value_of(result), 0}))
+                : outcome<std::string>(error_of(result));
         const status sent = m_callbacks.send(from, answer);
         if (!is_ok(sent))
         {
@@ -305,16 +321,12 @@
 }
 
 void departure_recorder::commit(directory::departure_report report,
-                                callback done)
+                                const batch_callback& done)
 {
+    const auto refused = take_refused(report.servers);
     for (directory::registration& each : report.servers)
     {
-        const status known = resolve(each);
-        if (!is_ok(known))
-        {
-            done(known);
-            return;
-        }
+        resolve(each);
     }
     std::erase_if(report.servers,
                   [this](const directory::registration& each)
@@ -323,41 +335,58 @@
                   });
     if (report.servers.empty())
     {
-        done(success());
+        done(refused);
         return;
     }
     m_callbacks.propose(
         make_entry(report),
-        [done = std::move(done)](const outcome<replica::proposal_result>& end)
+        [done, refused](const outcome<replica::proposal_result>& end)
         {
-            done(is_ok(end) ? success() : status(error_of(end)));
+            done(is_ok(end) ? batch_result(refused)
+                            : batch_result(error_of(end)));
         });
 }
 
-status departure_recorder::resolve(directory::registration& departure) const
+std::vector<directory::registration> departure_recorder::take_refused(
+    std::vector<directory::registration>& departures) const
 {
-    if (!is_unknown(departure) || m_callbacks.recorded().covers(departure))
-    {
-        return success();
-    }
-    const auto& servers = m_callbacks.servers();
-    if (servers.is_start_ambiguous(departure.id, m_loop.now()))
+    const auto refused = std::stable_partition(
+        departures.begin(),
+        departures.end(),
+        [this](const directory::registration& each)
+        {
+            return !is_unknown(each) || m_callbacks.recorded().covers(each) ||
+                   !m_callbacks.servers().is_start_ambiguous(each.id,
+                                                             m_loop.now());
+        });
+    std::vector<directory::registration> result(refused, departures.end());
+    departures.erase(refused, departures.end());
+    return result;
+}
+
+void departure_recorder::resolve(directory::registration& departure) const
+{
+    if (!is_unknown(departure))
     {
-        return error{error_code::conflict,
-                     "the server has started again a short time ago"};
+        return;
     }
-    const auto* known = servers.find(departure.id);
+    const auto* known = m_callbacks.servers().find(departure.id);
     // No start of an unknown server is later than now.
     departure.born_ms =
         known == nullptr ? m_callbacks.unix_ms() : known->born_ms;
-    return success();
 }
 
 void departure_recorder::receive(const wire::reply& answer)
 {
+    if (!is_ok(answer.result))
+    {
+        complete(answer.id, error_of(answer.result));
+        return;
+    }
+    auto refused = directory::decode_departure_report(value_of(answer.result));
     complete(answer.id,
-             is_ok(answer.result) ? success()
-                                  : status(error_of(answer.result)));
+             is_ok(refused) ? batch_result(std::move(value_of(refused).servers))
+                            : batch_result(error_of(refused)));
 }
 
 void departure_recorder::on_lost(const vm_id& peer)
@@ -370,7 +399,7 @@
 
 known_leader departure_recorder::find_leader(time_point now)
 {
-    const known_leader leader = m_callbacks.leader();
+    known_leader leader = m_callbacks.leader();
     if (leader.vm != vm_id())
     {
         m_leader_known_at = now;
--- a/libs/control/src/departure_recorder.hpp
+++ b/libs/control/src/departure_recorder.hpp
@@ -110,18 +110,28 @@
         std::vector<waiting_departure> waiting;
     };
 
+    /// The departures of a batch that are refused, as their servers have
+    /// started again; all others are recorded.
+    using batch_result = outcome<std::vector<directory::registration>>;
+    using batch_callback = std::function<void(const batch_result&)>;
+
     void schedule();
     void step();
     void expire(time_point now);
     void send_batch(time_point now);
     std::vector<waiting_departure> take_next();
     void return_batch();
-    void complete(std::uint64_t id, const status& result);
+    void complete(std::uint64_t id, const batch_result& result);
+    void complete(const batch& ended,
+                  const std::vector<directory::registration>& refused);
     /// As the leader, proposes the departures that are not recorded yet.
-    void commit(directory::departure_report report, callback done);
+    void commit(directory::departure_report report, const batch_callback& done);
+    /// Removes the departures that are refused, and returns them.
+    std::vector<directory::registration>
+    take_refused(std::vector<directory::registration>& departures) const;
     /// Determines the start of a server that the replica it has reported to
     /// does not know.
-    status resolve(directory::registration& departure) const;
+    void resolve(directory::registration& departure) const;
     /// Returns whether departures can probably not be recorded in time.
     bool is_refusing(time_point now);
     known_leader find_leader(time_point now);
--- a/libs/control/src/order_service.cpp
+++ b/libs/control/src/order_service.cpp
@@ -255,31 +255,52 @@
 directory::merge_result
 order_service::take(const directory::registration& reported)
 {
-    const directory::merge_result result = m_feed.take(reported);
-    // A server that drains repeats it with each heartbeat.
-    if (reported.state == directory::server_state::draining &&
-        result == directory::merge_result::changed)
+    return m_feed.take(reported);
+}
+
+net::awaitable<status> order_service::record(directory::registration departure)
+{
+    // A named variable, as in propose().
+    const std::function<void(std::function<void(status)>)> start =
+        [this, departure](std::function<void(status)> call)
     {
-        record(reported);
-    }
-    return result;
+        m_departures.record(departure, std::move(call));
+    };
+    co_return co_await await_callback<status>(start);
 }
 
-directory::merge_result order_service::leave(const engine_id& id)
+net::awaitable<status>
+order_service::record_draining(const directory::registration& reported,
+                               directory::merge_result taken)
 {
-    const directory::merge_result result = m_feed.leave(id);
-    const auto* known = m_feed.registrations().find(id);
-    if (known != nullptr && result != directory::merge_result::ambiguous)
+    const directory::registration departure = directory::departure_of(reported);
+    // A server repeats its report with each heartbeat.
+    if (taken == directory::merge_result::stale ||
+        (taken == directory::merge_result::refreshed &&
+         m_state.departures().covers(departure)))
     {
-        record(*known);
+        co_return success();
     }
-    return result;
+    co_return co_await record(departure);
 }
 
-void order_service::record(const directory::registration& departing)
+net::awaitable<status> order_service::leave(const engine_id& id)
 {
-    m_departures.record(directory::departure_of(departing),
-                        [](const status& /*done*/) {});
+    const directory::merge_result result = m_feed.leave(id);
+    if (result == directory::merge_result::ambiguous)
+    {
+        co_return error{error_code::conflict,
+                        "the server has started again a short time ago"};
+    }
+    directory::registration departure;
+    departure.id = id;
+    const auto* known = m_feed.registrations().find(id);
+    if (known != nullptr)
+    {
+        departure = *known;
+    }
+    departure.state = directory::server_state::gone;
+    co_return co_await record(directory::departure_of(departure));
 }
 
 std::optional<net::ip::tcp::endpoint> order_service::leader() const
--- a/libs/control/src/order_service.hpp
+++ b/libs/control/src/order_service.hpp
@@ -68,7 +68,11 @@
     directory::merge_result
     take(const directory::registration& reported) override;
 
-    directory::merge_result leave(const engine_id& id) override;
+    boost::asio::awaitable<status>
+    record_draining(const directory::registration& reported,
+                    directory::merge_result taken) override;
+
+    boost::asio::awaitable<status> leave(const engine_id& id) override;
 
     std::optional<boost::asio::ip::tcp::endpoint> leader() const override;
 
@@ -81,7 +85,7 @@
     boost::asio::awaitable<outcome<replica::proposal_result>>
     propose(const directory::command& order);
 
-    void record(const directory::registration& departing);
+    boost::asio::awaitable<status> record(directory::registration departure);
 
     /// Returns once this replica has applied all orders that were acknowledged
     /// before. Errors: not_leader or unavailable if it cannot tell.
--- a/libs/control/test/control_group_test.cpp
+++ b/libs/control/test/control_group_test.cpp
@@ -210,6 +210,42 @@
         return std::move(*result);
     }
 
+    /// Returns a heartbeat of a server that is ready.
+    static directory::registration heartbeat(std::uint64_t sequence,
+                                             std::uint64_t born_ms = 1000)
+    {
+        directory::registration row;
+        row.id = engine_id("a");
+        row.service = "s";
+        row.address = "127.0.4.99:80";
+        row.version = "v1";
+        row.born_ms = born_ms;
+        row.sequence = sequence;
+        row.heard_at = monotonic_clock::now();
+        return row;
+    }
+
+    /// Deregisters the server at the replica, again until it is acknowledged.
+    void leave(std::size_t number)
+    {
+        while (!is_ok(wait(orders[number]->leave(engine_id("a")))))
+        {
+            context.run_one();
+        }
+    }
+
+    /// Ends the replica and starts it with an empty disk.
+    void replace_disk(std::size_t number)
+    {
+        servers[number]->close();
+        context.poll();
+        servers[number].reset();
+        std::filesystem::remove_all(folder + "/" + ip_of(number));
+        start(number);
+        std::swap(servers[number], servers.back());
+        servers.pop_back();
+    }
+
     void put_document(std::uint64_t version, std::string text)
     {
         directory::command order;
@@ -365,4 +401,66 @@
     BOOST_TEST((read_rollout()->current == rollout::phase::rolled_back));
 }
 
+/// Guards against deregistrations that only the replicas' memory holds.
+BOOST_FIXTURE_TEST_CASE(deregistration_survives_a_restart_of_all_replicas,
+                        seeded_group_fixture)
+{
+    orders[0]->take(heartbeat(3));
+    leave(0);
+    restart_all();
+    for (fleet_orders* each : orders)
+    {
+        BOOST_TEST(
+            (each->take(heartbeat(4)) == directory::merge_result::stale));
+    }
+    BOOST_TEST((orders[0]->take(heartbeat(1, 2000)) ==
+                directory::merge_result::changed));
+}
+
+BOOST_FIXTURE_TEST_CASE(word_that_a_server_drains_survives_a_restart_of_all,
+                        seeded_group_fixture)
+{
+    orders[1]->take(heartbeat(3));
+    directory::registration draining = heartbeat(5);
+    draining.state = directory::server_state::draining;
+    const auto taken = orders[1]->take(draining);
+    while (!is_ok(wait(orders[1]->record_draining(draining, taken))))
+    {
+        context.run_one();
+    }
+    restart_all();
+    for (fleet_orders* each : orders)
+    {
+        BOOST_TEST(
+            (each->take(heartbeat(4)) == directory::merge_result::stale));
+    }
+}
+
+/// Guards against an acknowledgement of what only one replica knows.
+BOOST_FIXTURE_TEST_CASE(deregistration_survives_the_replica_that_took_it,
+                        seeded_group_fixture)
+{
+    orders[0]->take(heartbeat(3));
+    leave(0);
+    replace_disk(0);
+    std::size_t aware = 0;
+    for (std::size_t i = 1; i < replica_count; ++i)
+    {
+        aware += orders[i]->take(heartbeat(4)) == directory::merge_result::stale
+                     ? 1
+                     : 0;
+    }
+    // A majority has stored it, one of them the replica that was lost.
+    BOOST_TEST(aware >= 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(server_that_the_replica_does_not_know_is_deregistered,
+                        seeded_group_fixture)
+{
+    orders[0]->take(heartbeat(3));
+    leave(2);
+    BOOST_TEST(
+        (orders[2]->take(heartbeat(4)) == directory::merge_result::stale));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/control/test/departure_recorder_test.cpp
+++ b/libs/control/test/departure_recorder_test.cpp
@@ -131,6 +131,14 @@
         recorder.receive(answer);
     }
 
+    /// Replies that all are recorded but the refused.
+    void confirm(std::size_t number,
+                 std::vector<directory::registration> refused = {})
+    {
+        reply(number,
+              encode(directory::departure_report{std::move(refused), 0}));
+    }
+
     /// Commits the proposal as the group does.
     void commit(std::size_t number)
     {
@@ -179,7 +187,7 @@
     BOOST_TEST(results.empty());
     BOOST_REQUIRE(sent.size() == 1U);
     BOOST_TEST(sent[0].first.get() == "leader");
-    reply(0, std::string());
+    confirm(0);
     BOOST_REQUIRE(results.size() == 1U);
     BOOST_TEST(is_ok(results[0]));
     BOOST_TEST(recorder.counts().recorded == 1U);
@@ -213,7 +221,7 @@
     BOOST_TEST(results.size() == 2U);
     run_for(milliseconds(100));
     BOOST_TEST(sent.size() == 2U);
-    reply(1, std::string());
+    confirm(1);
     BOOST_TEST(is_ok(results.at(2)));
 }
 
@@ -222,7 +230,7 @@
 {
     record(departure("a"));
     run_for(milliseconds(800));
-    reply(0, std::string());
+    confirm(0);
     record(departure("b"));
     BOOST_TEST(results.size() == 1U);
 }
@@ -262,9 +270,9 @@
     BOOST_TEST(sent[1].first.get() == "next");
     // The former leader's reply is about another call, and no answer to this
     // one.
-    reply(0, std::string());
+    confirm(0);
     BOOST_TEST(results.empty());
-    reply(1, std::string());
+    confirm(1);
     BOOST_TEST(results.size() == 1U);
 }
 
@@ -290,7 +298,7 @@
     BOOST_TEST(results.empty());
     run_for(milliseconds(50));
     BOOST_REQUIRE(sent.size() == 2U);
-    reply(1, std::string());
+    confirm(1);
     BOOST_TEST(is_ok(results.at(0)));
 }
 
@@ -306,7 +314,7 @@
     {
         run_for(milliseconds(25));
         BOOST_REQUIRE(sent.size() == number + 1);
-        reply(number, std::string());
+        confirm(number);
     }
     BOOST_TEST(sent.size() == 5U);
 }
@@ -320,26 +328,34 @@
     record(departure("c"));
     run_for(milliseconds(50));
     BOOST_TEST(sent.size() == 1U);
-    reply(0, std::string());
+    confirm(0);
     run_for(milliseconds(50));
     BOOST_REQUIRE(sent.size() == 2U);
     BOOST_TEST(servers_in_call(1) == 2U);
 }
 
-BOOST_FIXTURE_TEST_CASE(unknown_server_is_sent_alone, following_replica_fixture)
+BOOST_FIXTURE_TEST_CASE(refused_departure_does_not_hold_up_the_others,
+                        following_replica_fixture)
 {
     record(departure("a"));
     record(departure("b", 0));
     record(departure("c"));
     run_for(milliseconds(50));
-    BOOST_TEST(servers_in_call(0) == 1U);
-    reply(0, std::string());
-    run_for(milliseconds(50));
-    BOOST_TEST(servers_in_call(1) == 1U);
-    reply(1, error{error_code::conflict, "started again"});
-    BOOST_TEST((code_of(1) == error_code::conflict));
+    BOOST_TEST(servers_in_call(0) == 3U);
+    confirm(0, {departure("b", 0)});
+    BOOST_REQUIRE(results.size() == 3U);
+    BOOST_TEST(is_ok(results[0]));
+    BOOST_TEST(is_ok(results[1]));
+    BOOST_TEST((code_of(2) == error_code::conflict));
+}
+
+BOOST_FIXTURE_TEST_CASE(reply_that_cannot_be_read_acknowledges_nothing,
+                        following_replica_fixture)
+{
+    record(departure("a"));
     run_for(milliseconds(50));
-    BOOST_TEST(servers_in_call(2) == 1U);
+    reply(0, std::string("not a list"));
+    BOOST_TEST(results.empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(replica_that_stops_refuses_what_waits,
@@ -429,8 +445,12 @@
         servers.merge(known);
     }
     receive({{departure("a", 0)}, 0});
-    BOOST_TEST((error_of(sent_reply(0).result).code == error_code::conflict));
     BOOST_TEST(proposed.empty());
+    const auto refused =
+        directory::decode_departure_report(value_of(sent_reply(0).result));
+    BOOST_REQUIRE(is_ok(refused));
+    BOOST_REQUIRE(value_of(refused).servers.size() == 1U);
+    BOOST_TEST(value_of(refused).servers[0].id.get() == "a");
 }
 
 /// Guards against a state that grows with every server that ever left.
--- a/libs/control/test/flooded_control_test.cpp
+++ b/libs/control/test/flooded_control_test.cpp
@@ -213,6 +213,66 @@
     check_large_configuration(10);
 }
 
+namespace
+{
+
+flood_result end_servers(flood_options options)
+{
+    options.known_servers = 500;
+    options.flood_servers = 0;
+    const flood_result seen = flood(options);
+    std::cout << options.leaving_servers << " servers leave at "
+              << (options.leave_at_leader ? "the leader" : "a follower")
+              << (options.records_departures ? "" : ", not recorded")
+              << ": answered in " << to_milliseconds(seen.longest_departure)
+              << " ms, " << seen.refused_departures << " refused, known in "
+              << to_milliseconds(seen.longest_draining) << " ms\n";
+    return seen;
+}
+
+} // namespace
+
+/// Guards against a write to the log, or a round of updates, for each of many
+/// servers that leave at once.
+BOOST_AUTO_TEST_CASE(servers_that_leave_at_once_are_answered_and_known_in_time)
+{
+    // Servers turn to another replica after a second without an answer, and go
+    // on serving for this long after it.
+    constexpr duration max_answer = seconds(1);
+    constexpr duration drain_time = seconds(2);
+    for (std::uint64_t seed = 1; seed <= 3; ++seed)
+    {
+        for (const bool at_leader : {true, false})
+        {
+            flood_options options;
+            options.leaving_servers = 300;
+            options.leave_at_leader = at_leader;
+            options.seed = seed;
+            const flood_result seen = end_servers(options);
+            check_leader(seen);
+            BOOST_TEST(seen.refused_departures == 0U);
+            BOOST_TEST(to_milliseconds(seen.longest_departure) <
+                       to_milliseconds(max_answer));
+            BOOST_TEST(to_milliseconds(seen.longest_draining) <
+                       to_milliseconds(drain_time));
+        }
+    }
+}
+
+/// What the test above is compared with; it is run by hand.
+BOOST_AUTO_TEST_CASE(servers_that_leave_at_once_without_a_record,
+                     *boost::unit_test::disabled())
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed)
+    {
+        flood_options options;
+        options.leaving_servers = 300;
+        options.records_departures = false;
+        options.seed = seed;
+        check_leader(end_servers(options));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(group_whose_leader_is_flooded_by_3000_servers_keeps_it)
 {
     for (const flood_result& each : flood_with(3000))
--- a/libs/control/test/flooded_fleet.cpp
+++ b/libs/control/test/flooded_fleet.cpp
@@ -25,6 +25,8 @@
 constexpr duration document_byte_cost = nanoseconds(250);
 constexpr duration consensus_message_cost = microseconds(12);
 constexpr duration registration_cost = microseconds(100);
+/// Of a departure in an entry of the log, with its log line.
+constexpr duration departure_cost = microseconds(10);
 constexpr duration order_cost = microseconds(300);
 constexpr duration tick_cost = microseconds(5);
 
@@ -156,6 +158,9 @@
     std::unique_ptr<directory_feed> feed;
     /// Versions of the configurations by the tickets of their proposals.
     std::map<consensus::ticket, std::uint64_t> proposals;
+    std::unique_ptr<departure_recorder> recorder;
+    directory::departure_table departures;
+    std::map<consensus::ticket, replica::proposal_callback> reports;
     std::uint64_t last_ticket = 0;
     std::uint64_t rows_charged = 0;
 };
@@ -222,6 +227,7 @@
         restart_routers();
     }
     replace_servers();
+    end_servers(m_last_leader == none ? 0 : m_last_leader);
     const std::size_t flooded = m_last_leader == none ? 0 : m_last_leader;
     for (std::size_t i = 0; i < m_options.flood_servers; ++i)
     {
@@ -324,6 +330,7 @@
     {
         self.feed->add_contact(replica_name(i));
     }
+    make_recorder(index, loop);
     m_clock.at(m_clock.now() + duration(m_random.below(500'000'000)),
                [&self]
                {
@@ -332,6 +339,86 @@
     tick(index);
 }
 
+void flooded_fleet::make_recorder(std::size_t replica, const event_loop& loop)
+{
+    replica_process& self = *m_replicas[replica];
+    recorder_callbacks callbacks;
+    callbacks.leader = [this, &self]
+    {
+        const auto state = self.node->view(m_clock.now());
+        return known_leader{state.leader ? state.leader->vm : vm_id(),
+                            state.term,
+                            state.role == consensus::node_role::leader};
+    };
+    callbacks.propose = [this, &self, replica](std::string entry,
+                                               replica::proposal_callback done)
+    {
+        const consensus::ticket id{++self.last_ticket};
+        self.reports[id] = std::move(done);
+        consensus::propose batch;
+        batch.proposals.push_back({id, std::move(entry)});
+        step(replica, std::move(batch));
+    };
+    callbacks.send =
+        [this, replica](const vm_id& to, const wire::call_message& message)
+    {
+        send_call(replica, to, message);
+        return success();
+    };
+    callbacks.recorded = [&self]() -> const directory::departure_table&
+    {
+        return self.departures;
+    };
+    callbacks.servers = [&self]() -> const directory::registration_table&
+    {
+        return self.feed->registrations();
+    };
+    callbacks.unix_ms = []
+    {
+        return std::uint64_t{1};
+    };
+    self.recorder =
+        std::make_unique<departure_recorder>(loop, std::move(callbacks));
+}
+
+void flooded_fleet::send_call(std::size_t from,
+                              const vm_id& to,
+                              const wire::call_message& message)
+{
+    replica_process& sender = *m_replicas[from];
+    replica_process& receiver = *m_replicas[index_of(to)];
+    const std::size_t size = encode(message).size() + frame_overhead_bytes;
+    const auto deliver = [this, from, &receiver, message]
+    {
+        if (const auto* answer = std::get_if<wire::reply>(&message))
+        {
+            receiver.recorder->receive(*answer);
+            return;
+        }
+        receiver.recorder->receive(replica_name(from),
+                                   std::get<wire::call>(message));
+    };
+    sender.process.charge(frame_send_cost);
+    m_clock.at(sender.process.send(size) + latency(),
+               [this, &receiver, size, deliver]
+               {
+                   m_clock.at(receiver.process.receive(m_clock.now(), size),
+                              [&receiver, deliver]
+                              {
+                                  receiver.process.post(frame_receipt_cost,
+                                                        deliver);
+                              });
+               });
+}
+
+void flooded_fleet::take_departures(
+    std::size_t replica, const std::vector<directory::registration>& departed)
+{
+    replica_process& self = *m_replicas[replica];
+    self.process.charge(departure_cost * departed.size());
+    self.feed->take_departures(departed);
+}
+
 void flooded_fleet::tick(std::size_t replica)
 {
     m_replicas[replica]->process.post(tick_cost,
@@ -355,6 +442,17 @@
 
 void flooded_fleet::execute(std::size_t replica, consensus::actions work)
 {
+    for (const consensus::persist_request& each : work.persists)
+    {
+        for (const storage::log_entry& entry : each.entries)
+        {
+            const auto departed = departures_in(entry.data);
+            if (!departed.empty())
+            {
+                take_departures(replica, departed);
+            }
+        }
+    }
     if (!work.persists.empty())
     {
         const auto last = work.persists.back().number;
@@ -385,6 +483,11 @@
         {
             continue;
         }
+        if (const auto departed = departures_in(entry.data); !departed.empty())
+        {
+            self.departures.apply(entry.index.get(), {departed, 0});
+            continue;
+        }
         directory::command order;
         const std::uint64_t version = std::stoull(entry.data);
         order.version = directory::document_version(version);
@@ -398,6 +501,18 @@
     }
     for (const consensus::request_result& each : work.results)
     {
+        if (const auto report = self.reports.extract(each.id))
+        {
+            if (each.state == consensus::request_state::done)
+            {
+                report.mapped()(replica::proposal_result{each.index, ""});
+            }
+            else
+            {
+                report.mapped()(
+                    error{error_code::unavailable, "not committed"});
+            }
+        }
         const auto proposal = self.proposals.extract(each.id);
         if (!proposal)
         {
@@ -770,29 +885,78 @@
     }
 }
 
-void flooded_fleet::replace_server(std::size_t server)
+void flooded_fleet::begin_departure(std::size_t server)
 {
-    constexpr duration drain_time = seconds(2);
-    known_server& former = m_servers[server];
-    former.row.state = directory::server_state::draining;
-    former.draining_at = m_clock.now();
+    known_server& leaving = m_servers[server];
+    leaving.draining_at = m_clock.now();
     for (std::size_t i = 0; i < m_routers.size(); ++i)
     {
-        former.uninformed.insert(i);
+        leaving.uninformed.insert(i);
+    }
+}
+
+/// Deregisters known servers at one replica, one after the other within
+/// flood_time.
+void flooded_fleet::end_servers(std::size_t replica)
+{
+    const std::size_t to = m_options.leave_at_leader
+                               ? replica
+                               : (replica + 1) % m_options.replicas;
+    for (std::size_t i = 0; i < m_options.leaving_servers; ++i)
+    {
+        m_clock.at(m_clock.now() +
+                       m_options.flood_time * i / m_options.leaving_servers,
+                   [this, to, i]
+                   {
+                       m_servers[i].has_left = true;
+                       begin_departure(i);
+                       deregister(to, i);
+                   });
     }
+}
+
+void flooded_fleet::deregister(std::size_t replica, std::size_t server)
+{
+    replica_process& to = *m_replicas[replica];
+    to.process.post_background(
+        registration_cost,
+        [this, &to, replica, server]
+        {
+            directory::registration departure = m_servers[server].row;
+            to.feed->leave(departure.id);
+            if (!m_options.records_departures)
+            {
+                return;
+            }
+            departure.state = directory::server_state::gone;
+            to.recorder->record(
+                directory::departure_of(departure),
+                [this, replica, server](const status& done)
+                {
+                    if (!is_ok(done))
+                    {
+                        ++m_result.refused_departures;
+                        deregister((replica + 1) % m_options.replicas, server);
+                        return;
+                    }
+                    m_result.longest_departure =
+                        std::max(m_result.longest_departure,
+                                 m_clock.now() - m_servers[server].draining_at);
+                });
+        });
+}
+
+void flooded_fleet::replace_server(std::size_t server)
+{
+    constexpr duration drain_time = seconds(2);
+    begin_departure(server);
+    m_servers[server].row.state = directory::server_state::draining;
     report(random_below(m_replicas.size()), server);
     m_clock.at(m_clock.now() + drain_time,
                [this, server]
                {
                    m_servers[server].has_left = true;
-                   replica_process& to =
-                       *m_replicas[random_below(m_replicas.size())];
-                   to.process.post_background(registration_cost,
-                                              [this, &to, server]
-                                              {
-                                                  to.feed->leave(
-                                                      m_servers[server].row.id);
-                                              });
+                   deregister(random_below(m_replicas.size()), server);
                });
 }
 
@@ -820,7 +984,14 @@
             directory::registration& row = m_servers[server].row;
             ++row.sequence;
             row.heard_at = m_clock.now();
-            to.feed->take(row);
+            const auto taken = to.feed->take(row);
+            if (m_options.records_departures &&
+                row.state == directory::server_state::draining &&
+                taken == directory::merge_result::changed)
+            {
+                to.recorder->record(directory::departure_of(row),
+                                    [](const status& /*done*/) {});
+            }
             const auto rows = to.feed->registrations().rows_examined();
             to.process.charge(row_cost * (rows - to.rows_charged));
             to.rows_charged = rows;
--- a/libs/control/test/flooded_fleet.hpp
+++ b/libs/control/test/flooded_fleet.hpp
@@ -4,6 +4,8 @@
 
 #pragma once
 
+#include "control_state.hpp"
+#include "departure_recorder.hpp"
 #include "directory_feed.hpp"
 #include "simulated_process.hpp"
 
@@ -36,6 +38,13 @@
     /// drains and leaves two seconds later.
     std::size_t replaced_servers = 0;
     duration release_time = seconds(4);
+    /// Of the known servers, those that deregister at one replica within
+    /// flood_time, and whether that is the leader.
+    std::size_t leaving_servers = 0;
+    bool leave_at_leader = true;
+    /// Whether departures are recorded in the log before they are
+    /// acknowledged.
+    bool records_departures = true;
     duration server_heartbeat_period = milliseconds(1200);
     /// Time between two configurations, from before the flood to after it.
     duration order_period = milliseconds(400);
@@ -64,9 +73,14 @@
     duration longest_acknowledgement{};
     /// Longest time from a server's registration until a router knows it.
     duration longest_unknown{};
-    /// Longest time from a server's word that it drains until a router knows
-    /// it.
+    /// Longest time from a server's word that it drains or leaves until a
+    /// router knows it.
     duration longest_draining{};
+    /// Longest time from a deregistration to its answer, and the number of
+    /// those that were refused, after which the server turns to the next
+    /// replica.
+    duration longest_departure{};
+    std::size_t refused_departures = 0;
     /// Longest time from the acknowledgement of a configuration until a router
     /// has it or a newer one.
     duration longest_outdated{};
@@ -152,6 +166,15 @@
     void subscribe_periodically(std::size_t router);
     void send_loads_periodically(std::size_t router);
     void add_server(std::size_t replica);
+    void make_recorder(std::size_t replica, const event_loop& loop);
+    void send_call(std::size_t from,
+                   const vm_id& to,
+                   const wire::call_message& message);
+    void take_departures(std::size_t replica,
+                         const std::vector<directory::registration>& departed);
+    void end_servers(std::size_t replica);
+    void begin_departure(std::size_t server);
+    void deregister(std::size_t replica, std::size_t server);
     void replace_servers();
     void replace_server(std::size_t server);
     void send_heartbeats(std::size_t server);
--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -34,7 +34,8 @@
 # goes on to serve.
 BEFORE_S = 2.0
 SERVES_S = 8.0
-# How long all are down, and how late a message arrives.
+# How long replicas are down, and how late a message arrives.
+DOWN_S = 3.5
 ALL_DOWN_S = 0.95
 LATE_S = 3.0
 # A server that starts again gets requests so soon.
@@ -71,11 +72,15 @@
             server.service, "%s:%d" % server.place[1], server.data_centre,
             server.version, state, server.sequence, server.born_ms)
 
-    async def leave(self, replica):
+    async def leave(self, replica, *others):
+        """Deregisters; asks the other replicas if the first does not
+        acknowledge it."""
         self.server.beats.cancel()
-        if await self.call(replica, "DELETE") == 200:
-            self.acked_at = self.world.record.now()
-        return self.acked_at is not None
+        for each in (replica, *others):
+            if await self.call(each, "DELETE") == 200:
+                self.acked_at = self.world.record.now()
+                return True
+        return False
 
     async def drain(self, replica):
         """Says once that it drains."""
@@ -99,6 +104,32 @@
         {**world.replicas, **world.routers}[name].signal(number)
 
 
+async def replica_lost(world, leavers, number=signal.SIGKILL):
+    """A replica ends right after it has acknowledged two departures."""
+    processes.RESTART_S = DOWN_S
+    replica = world.random.choice(list(world.replicas))
+    first, second = leavers
+    done = asyncio.create_task(first.leave(replica))
+    await asyncio.sleep(0.01)
+    is_left = await second.leave(replica)
+    end(world, [replica], number)
+    return is_left and await done
+
+
+async def replica_stopped(world, leavers):
+    """As before, but the replica is stopped as planned."""
+    return await replica_lost(world, leavers, signal.SIGTERM)
+
+
+async def draining_replica_lost(world, leavers):
+    """The same for servers that say that they drain, and say it once."""
+    processes.RESTART_S = DOWN_S
+    replica = world.random.choice(list(world.replicas))
+    states = [await each.drain(replica) for each in leavers]
+    end(world, [replica])
+    return all(states)
+
+
 async def all_restarted(world, leavers):
     """All processes end after the acknowledgement; then heartbeats arrive that
     were sent before."""
@@ -108,7 +139,7 @@
     beats = [each.report("ready") for each in leavers]
     states = [await leavers[0].leave(names[0]),
               await leavers[1].drain(names[1])]
-    await asyncio.sleep(0.3)
+    await asyncio.sleep(world.random.choice((0.0, 0.001, 0.3)))
     end(world, [*world.replicas, *world.routers])
     await asyncio.sleep(world.random.choice((1.2, LATE_S)))
     for each, beat in zip(leavers, beats):
@@ -116,6 +147,22 @@
     return all(states)
 
 
+async def replica_started(world, leavers):
+    """A replica that has just started is told that a server leaves."""
+    processes.RESTART_S = 0.2
+    name = world.random.choice(list(world.replicas))
+    replica = world.replicas[name]
+    others = [each for each in world.replicas if each != name]
+    end(world, [name])
+    await replica.restarted()
+    until = world.record.now() + 5.0
+    leaver = leavers[0]
+    while not leaver.acked_at and world.record.now() < until:
+        if not await leaver.leave(name):
+            await asyncio.sleep(0.002)
+    return leaver.acked_at is not None and await leavers[1].leave(*others)
+
+
 async def server_restarted(world, leavers):
     """A server that has left starts again under its name; its former
     deregistration and a heartbeat arrive again, late."""
@@ -146,7 +193,9 @@
     return True
 
 
-CASES = {each.__name__: each for each in (all_restarted, server_restarted)}
+CASES = {each.__name__: each for each in (
+    replica_lost, replica_stopped, draining_replica_lost, all_restarted,
+    replica_started, server_restarted)}
 
 
 async def send_requests(world):
@@ -197,7 +246,7 @@
 def run(options, case, seed):
     folder = tempfile.mkdtemp(prefix="departures-")
     processes.RESTART_S = 0.2
-    servers.HEARTBEAT_S = HEARTBEAT_S
+    servers.HEARTBEAT_S = fleet.HEARTBEAT_S = HEARTBEAT_S
     world = fleet.World(os.path.abspath(options.binaries), folder,
                         options.net, seed, SIZES)
     asyncio.run(play(world, case))
