--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -163,6 +163,50 @@
     return leaver.acked_at is not None and await leavers[1].leave(*others)
 
 
+async def no_majority(world, leavers):
+    """Two of four replicas stand still: a departure is refused in time, and
+    takes effect at the routers, which hear from the others."""
+    names = list(world.replicas)
+    world.random.shuffle(names)
+    for name in names[:2]:
+        world.record.disturb(name)
+        world.replicas[name].signal(signal.SIGSTOP)
+    await asyncio.sleep(world.random.choice((0.0, 1.0, LATE_S)))
+    for leaver, replica in zip(leavers, names[2:]):
+        leaver.server.beats.cancel()
+        begun = world.record.now()
+        status = await leaver.call(replica, "DELETE")
+        # Servers wait for a second.
+        if status != 503 or world.record.now() > begun + 0.9:
+            world.record.fail("ACK", f"{replica} answers {status} without a "
+                              f"majority, {world.record.now() - begun:.2f} s")
+        leaver.acked_at = world.record.now()
+    await asyncio.sleep(SERVES_S)
+    for name in names[:2]:
+        world.replicas[name].signal(signal.SIGCONT)
+    return True
+
+
+async def disk_full(world, leavers):
+    """A replica's disk takes no writes: it answers, and lives on."""
+    names = list(world.replicas)
+    world.random.shuffle(names)
+    full = world.replicas[names[0]]
+    child = full.child
+    full.refuse_writes(True)
+    await asyncio.sleep(world.random.choice((0.0, 1.0)))
+    is_left = await leavers[0].leave(*names)
+    is_drained = await leavers[1].drain(names[1])
+    ready = await leavers[1].call(names[0], "PUT", leavers[1].report("ready"))
+    full.refuse_writes(False)
+    if ready != 200 or child.returncode is not None:
+        world.record.fail("EXIT", f"{names[0]} answers a heartbeat {ready} "
+                          f"with a full disk, and ends with "
+                          f"{child.returncode}")
+    del leavers[1:]  # It is ready again.
+    return is_left and is_drained
+
+
 async def server_restarted(world, leavers):
     """A server that has left starts again under its name; its former
     deregistration and a heartbeat arrive again, late."""
@@ -195,7 +239,7 @@
 
 CASES = {each.__name__: each for each in (
     replica_lost, replica_stopped, draining_replica_lost, all_restarted,
-    replica_started, server_restarted)}
+    replica_started, no_majority, disk_full, server_restarted)}
 
 
 async def send_requests(world):
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -10,6 +10,12 @@
 RESTART_S = 0.2
 
 
+def _let_writes_fail():
+    """A write beyond the limit is to fail, as on a full disk. By default it
+    ends the process."""
+    signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
+
+
 class Process:
     """One program on one VM. Only processes started here are signalled."""
 
@@ -33,7 +39,7 @@
         with open(self.log, "ab") as log:
             self.child = await asyncio.create_subprocess_exec(
                 self.binary, "--settings=" + self.path, stdout=log,
-                stderr=log)
+                stderr=log, preexec_fn=_let_writes_fail)
         self.keeper = asyncio.create_task(self._keep())
 
     async def _keep(self):
