--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -1,6 +1,7 @@
 """Runs the real programs while servers leave and replicas are lost.
 
     departures.py BINARIES [--seed N] [--seeds N] [--case NAME]... [--net N]
+                  [--old BINARIES]
 
 A server that was told that its departure is acknowledged gets no request later
 than the platform allows, whichever replicas end after the acknowledgement and
@@ -9,6 +10,7 @@
 
 import argparse
 import asyncio
+import itertools
 import os
 import shutil
 import signal
@@ -38,6 +40,8 @@
 DOWN_S = 3.5
 ALL_DOWN_S = 0.95
 LATE_S = 3.0
+# The sheets' bound for an acknowledgement.
+ACKED_WITHIN_S = 4.0
 # A server that starts again gets requests so soon.
 SERVED_WITHIN_S = 2.0
 
@@ -237,9 +241,70 @@
     return True
 
 
+def is_new(world, name):
+    return world.replicas[name].binary.startswith(world.binaries)
+
+
+async def change_build(world, name, binaries):
+    """Stops the replica as planned and starts it with another build."""
+    replica = world.replicas[name]
+    world.record.disturb(name)
+    replica.binary = os.path.join(binaries, "limpet-control")
+    replica.signal(signal.SIGTERM)
+    await replica.restarted()
+    world.record.calm(name)
+
+
+async def leave_somewhere(world, leaver, names):
+    """Deregisters at one replica after the other; the one that acknowledges
+    ends at once if it is of the new build."""
+    begun = world.record.now()
+    for name in itertools.chain(*[names] * 3):
+        if await leaver.leave(name):
+            if is_new(world, name) and is_new_majority(world):
+                end(world, [name])
+            break
+    if not leaver.acked_at or world.record.now() > begun + ACKED_WITHIN_S:
+        world.record.fail("ACK", f"{leaver.server.name} has no "
+                          f"acknowledgement in {ACKED_WITHIN_S} s")
+
+
+def is_new_majority(world):
+    """Whether an acknowledgement of the new build has its full promise: the
+    replicas that store it apply it."""
+    return sum(is_new(world, each) for each in world.replicas) >= 3
+
+
+async def builds_mixed(world, leavers):
+    """Replicas change from the old build to the new one and back, one after the
+    other, while servers leave."""
+    processes.RESTART_S = 0.3
+    names = list(world.replicas)
+    order = world.random.sample(names, len(names))
+    for binaries in (world.binaries, world.old_binaries):
+        for name in order:
+            await change_build(world, name, binaries)
+            world.record.note(f"{name} runs {binaries}")
+            await asyncio.sleep(2.5)
+            server = world.servers.pop(0)
+            leaver = Leaver(world, server)
+            await leave_somewhere(
+                world, leaver, world.random.sample(names, len(names)))
+            if leaver.acked_at:
+                leavers.append(leaver)
+            if await world.operator.put(lambda version: None) is None:
+                world.record.fail("CONFIG", "no version is acknowledged")
+            # The one that has left goes on serving.
+            await world.add_server(server.number + 2 * SERVERS, "desk")
+    del leavers[:2]  # They have not left.
+    await world.operator.check_read_back()
+    return True
+
+
 CASES = {each.__name__: each for each in (
     replica_lost, replica_stopped, draining_replica_lost, all_restarted,
-    replica_started, no_majority, disk_full, server_restarted)}
+    replica_started, no_majority, disk_full, server_restarted,
+    builds_mixed)}
 
 
 async def send_requests(world):
@@ -293,6 +358,7 @@
     servers.HEARTBEAT_S = fleet.HEARTBEAT_S = HEARTBEAT_S
     world = fleet.World(os.path.abspath(options.binaries), folder,
                         options.net, seed, SIZES)
+    world.old_binaries = os.path.abspath(options.old or options.binaries)
     asyncio.run(play(world, case))
     print(f"seed {seed}, {case}: {len(world.record.runs)} requests, "
           f"{'BROKEN' if world.record.broken else 'held'}", flush=True)
@@ -313,10 +379,14 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--case", action="append", choices=CASES)
     parser.add_argument("--net", type=int, default=68)
+    parser.add_argument("--old", help="of the release before, for the case "
+                        "builds_mixed")
     options = parser.parse_args()
+    cases = options.case or [
+        each for each in CASES if each != "builds_mixed" or options.old]
     return max(run(options, case, seed)
                for seed in range(options.seed, options.seed + options.seeds)
-               for case in options.case or CASES)
+               for case in cases)
 
 
 if __name__ == "__main__":
