--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -42,6 +42,8 @@
 LATE_S = 3.0
 # The sheets' bound for an acknowledgement.
 ACKED_WITHIN_S = 4.0
+# Routers and replicas that have started again serve after this long.
+ALL_READY_S = 2.0
 # A server that starts again gets requests so soon.
 SERVED_WITHIN_S = 2.0
 
@@ -211,7 +213,7 @@
     return is_left and is_drained
 
 
-async def server_restarted(world, leavers):
+async def server_restarted(world, leavers, are_all_ended=False):
     """A server that has left starts again under its name; its former
     deregistration and a heartbeat arrive again, late."""
     names = list(world.replicas)
@@ -222,10 +224,17 @@
         return False
     server = leaver.server
     await asyncio.sleep(0.2)
+    if are_all_ended:
+        processes.RESTART_S = ALL_DOWN_S
+        end(world, [*world.replicas, *world.routers])
     await server.crash()
     former, leavers[:] = server.name, []
     again = await world.add_server(server.number, "desk")
     again.name = former
+    if are_all_ended:
+        await asyncio.gather(*(each.restarted()
+                               for each in world.routers.values()))
+        await asyncio.sleep(ALL_READY_S)
     started_at = world.record.now()
     await asyncio.sleep(world.random.uniform(0.5, LATE_S))
     for name in names[1:]:
@@ -241,6 +250,11 @@
     return True
 
 
+async def server_restarted_after_all(world, leavers):
+    """The same, and all processes end after the acknowledgement."""
+    return await server_restarted(world, leavers, are_all_ended=True)
+
+
 def is_new(world, name):
     return world.replicas[name].binary.startswith(world.binaries)
 
@@ -304,7 +318,7 @@
 CASES = {each.__name__: each for each in (
     replica_lost, replica_stopped, draining_replica_lost, all_restarted,
     replica_started, no_majority, disk_full, server_restarted,
-    builds_mixed)}
+    server_restarted_after_all, builds_mixed)}
 
 
 async def send_requests(world):
