Control: a server that drains, is ready again and drains once more is recorded again

Read in review, not met by a caller: the first departure counted as the second, which was acknowledged without an entry. After a restart of all processes a late heartbeat from between the two outranks the first. A departure covers another only if its sequence is as high; a repetition that changes nothing needs no entry as before. The test failed before (covers(draining, 12) after draining, 5).

--- a/libs/control/src/order_service.cpp
+++ b/libs/control/src/order_service.cpp
@@ -283,15 +283,15 @@
 order_service::record_draining(const directory::registration& reported,
                                directory::merge_result taken)
 {
-    const directory::registration departure = directory::departure_of(reported);
     // A server repeats its report with each heartbeat.
-    if (taken == directory::merge_result::stale ||
-        (taken == directory::merge_result::refreshed &&
-         m_state.departures().covers(departure)))
+    const bool is_repeated =
+        taken == directory::merge_result::refreshed &&
+        m_state.departures().has_departed(reported.id, reported.born_ms);
+    if (is_repeated || taken == directory::merge_result::stale)
     {
         co_return success();
     }
-    co_return co_await record(departure);
+    co_return co_await record(directory::departure_of(reported));
 }
 
 net::awaitable<status> order_service::leave(const engine_id& id)
--- a/libs/directory/include/limpet/directory/departures.hpp
+++ b/libs/directory/include/limpet/directory/departures.hpp
@@ -62,6 +62,10 @@
     /// deregistration of the server.
     bool covers(const registration& departure) const;
 
+    /// Returns whether any departure of the start, or of a later one, is
+    /// recorded.
+    bool has_departed(const engine_id& id, std::uint64_t born_ms) const;
+
     void for_each(const std::function<void(const entry&)>& visit) const;
 
     std::size_t size() const noexcept
--- a/libs/directory/src/departures.cpp
+++ b/libs/directory/src/departures.cpp
@@ -157,9 +157,16 @@
         return false;
     }
     const registration& known = found->second.server;
-    const bool is_as_final = known.state == server_state::gone ||
-                             departure.state == server_state::draining;
-    return is_as_final && known.born_ms >= departure.born_ms;
+    return known.state == server_state::gone
+               ? known.born_ms >= departure.born_ms
+               : version_of(known) >= version_of(departure);
+}
+
+bool departure_table::has_departed(const engine_id& id,
+                                   std::uint64_t born_ms) const
+{
+    const auto found = m_entries.find(id);
+    return found != m_entries.end() && found->second.server.born_ms >= born_ms;
 }
 
 void departure_table::for_each(
--- a/libs/directory/test/departures_test.cpp
+++ b/libs/directory/test/departures_test.cpp
@@ -64,13 +64,26 @@
 BOOST_AUTO_TEST_CASE(server_that_drains_has_not_left)
 {
     record(make_departure("a", 1000, server_state::draining));
-    BOOST_TEST(
-        table.covers(make_departure("a", 1000, server_state::draining, 7)));
+    BOOST_TEST(table.has_departed(engine_id("a"), 1000));
+    BOOST_TEST(!table.has_departed(engine_id("a"), 1001));
     BOOST_TEST(!table.covers(make_departure("a", 1000)));
     record(make_departure("a", 1000));
     BOOST_TEST(table.covers(make_departure("a", 1000)));
 }
 
+/// Guards against a server that drains, is ready again, and drains once more:
+/// the first departure does not outrank what it reported in between.
+BOOST_AUTO_TEST_CASE(later_word_that_a_server_drains_is_not_covered)
+{
+    record(make_departure("a", 1000, server_state::draining, 5));
+    BOOST_TEST(
+        table.covers(make_departure("a", 1000, server_state::draining, 4)));
+    BOOST_TEST(
+        table.covers(make_departure("a", 1000, server_state::draining, 5)));
+    BOOST_TEST(
+        !table.covers(make_departure("a", 1000, server_state::draining, 12)));
+}
+
 BOOST_AUTO_TEST_CASE(departure_of_an_earlier_start_replaces_none)
 {
     record(make_departure("a", 2000));
