Control: a reply to a call of an earlier start acknowledges no departure

Read in review, not met by a caller: the ids of calls to the leader began anew with each start, so a late reply to a replica that had ended could match a call of its next start, and acknowledge departures that nobody had stored. The ids contain the time of the start now; the test failed before.

--- a/libs/control/src/departure_recorder.cpp
+++ b/libs/control/src/departure_recorder.cpp
@@ -32,9 +32,12 @@
 constexpr duration retention = seconds(60);
 /// Interval between two entries that let departures be forgotten.
 constexpr duration forget_interval = seconds(10);
-/// The ids of calls begin here: those of follower_reads on the same channel
-/// count from 1.
-constexpr std::uint64_t first_call_id = std::uint64_t{1} << 63U;
+/// Set in the ids of calls: those of follower_reads on the same channel count
+/// from 1.
+constexpr std::uint64_t call_id_mark = std::uint64_t{1} << 63U;
+/// Lowest bits of the ids, which count the calls. The others are the time of
+/// the start: a reply to a call of an earlier start must not match.
+constexpr unsigned call_count_bits = 20;
 
 error unavailable(std::string reason)
 {
@@ -61,7 +64,7 @@
                                        recorder_callbacks callbacks)
     : m_loop(std::move(loop)),
       m_callbacks(std::move(callbacks)),
-      m_last_id(first_call_id),
+      m_last_id(call_id_mark | (m_callbacks.unix_ms() << call_count_bits)),
       m_leader_known_at(m_loop.now())
 {
 }
--- a/libs/control/test/departure_recorder_test.cpp
+++ b/libs/control/test/departure_recorder_test.cpp
@@ -16,12 +16,11 @@
 namespace
 {
 
-constexpr std::uint64_t unix_time_ms = 500'000;
-
 /// A replica that follows the leader "leader" of term 1.
 struct following_replica_fixture
 {
     time_point now{seconds(100)};
+    std::uint64_t unix_time_ms = 500'000;
     std::multimap<time_point, std::function<void()>> calls;
     known_leader leader{vm_id("leader"), replica::term_number(1), false};
     control_state state{1};
@@ -72,7 +71,7 @@
         {
             return servers;
         };
-        callbacks.unix_ms = []
+        callbacks.unix_ms = [this]
         {
             return unix_time_ms;
         };
@@ -289,6 +288,33 @@
     BOOST_TEST(sent.size() == 2U);
 }
 
+/// Guards against an acknowledgement by the leader's late reply to a process
+/// that has ended.
+BOOST_FIXTURE_TEST_CASE(reply_to_a_call_of_an_earlier_start_is_ignored,
+                        following_replica_fixture)
+{
+    record(departure("a"));
+    run_for(milliseconds(50));
+    recorder.stop();
+    ++unix_time_ms;
+    departure_recorder next(make_loop(), make_callbacks());
+    std::vector<status> next_results;
+    next.record(departure("b"),
+                [&next_results](status done)
+                {
+                    next_results.push_back(std::move(done));
+                });
+    run_for(milliseconds(50));
+    wire::reply late;
+    late.id = sent_call(0).id;
+    late.result = encode(directory::departure_report{});
+    next.receive(late);
+    BOOST_TEST(next_results.empty());
+    late.id = sent_call(1).id;
+    next.receive(late);
+    BOOST_TEST(next_results.size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(refusal_of_a_deposed_leader_is_not_final,
                         following_replica_fixture)
 {
