Control: departures that were forgotten stay so when a replica starts or joins

After months of servers that come and go, each start would have sent thousands of rows to the routers, before the departures of that moment.

At the start the log that the disk holds is played with its forgettings.

--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -325,7 +325,7 @@
             {
                 m_orders->record_versions();
                 m_orders->update_rollouts(monotonic_clock::now());
-                m_departures->update();
+                update_departures();
             }
         };
         m_feed = std::make_unique<directory_feed>(
@@ -344,18 +344,54 @@
         }
     }
 
-    /// Puts the departures in force that the disk has.
-    void restore_departures()
+    /// Puts departures in force that were recorded after the log index.
+    void put_in_force(const directory::departure_table& recorded,
+                      std::uint64_t after)
     {
-        m_state.departures().for_each(
-            [this](const directory::departure_table::entry& each)
+        std::vector<directory::registration> departed;
+        recorded.for_each_after(
+            after,
+            [&departed](const directory::departure_table::entry& each)
             {
-                m_stored_departures.push_back(each.server);
+                departed.push_back(each.server);
             });
+        m_feed->take_departures(departed);
+    }
+
+    /// Puts the departures in force that the disk holds, committed or not. Its
+    /// log also has those that were forgotten since the last snapshot.
+    void restore_departures()
+    {
         log_event(log_level::info,
                   "departure.restored",
-                  {{"servers", m_stored_departures.size()}});
-        m_feed->take_departures(std::exchange(m_stored_departures, {}));
+                  {{"servers", m_found_departures.size()}});
+        put_in_force(m_found_departures, 0);
+        m_found_departures = {};
+    }
+
+    bool is_voter() const
+    {
+        const replica::replica_view state = m_replica->view();
+        return std::any_of(state.members.begin(),
+                           state.members.end(),
+                           [&state](const replica::member_view& each)
+                           {
+                               return each.voter && each.id == state.self;
+                           });
+    }
+
+    /// Puts the departures in force that this replica has applied. Most are
+    /// since they were stored; a learner waits until it is a voter, as the log
+    /// that it receives has departures that were forgotten long ago.
+    void update_departures()
+    {
+        const std::uint64_t newest = m_state.departures().last_index();
+        if (newest > m_departures_in_force && is_voter())
+        {
+            put_in_force(m_state.departures(), m_departures_in_force);
+            m_departures_in_force = newest;
+        }
+        m_departures->update();
     }
 
     void make_recorder()
@@ -396,22 +432,35 @@
     /// Puts departures in force that this replica has received from the leader.
     /// They are what servers have said of themselves, so it need not wait until
     /// they are committed, which may take an election.
-    void take_stored(std::string_view entry)
+    void take_stored(replica::log_index index, std::string_view entry)
     {
-        const auto departed = departures_in(entry);
-        const bool is_first = m_stored_departures.empty();
-        m_stored_departures.insert(
-            m_stored_departures.end(), departed.begin(), departed.end());
-        if (!m_feed || !is_first || departed.empty())
+        const auto report = departures_in(entry);
+        if (!report)
         {
             return;
         }
-        net::post(m_context,
-                  [this]
-                  {
-                      m_feed->take_departures(
-                          std::exchange(m_stored_departures, {}));
-                  });
+        if (!m_feed)
+        {
+            m_found_departures.apply(index.get(), *report);
+            return;
+        }
+        if (report->servers.empty() || !is_voter())
+        {
+            return;
+        }
+        const bool is_first = m_stored_departures.empty();
+        m_stored_departures.insert(m_stored_departures.end(),
+                                   report->servers.begin(),
+                                   report->servers.end());
+        if (is_first)
+        {
+            net::post(m_context,
+                      [this]
+                      {
+                          m_feed->take_departures(
+                              std::exchange(m_stored_departures, {}));
+                      });
+        }
     }
 
     void log_leader_change()
@@ -506,9 +555,10 @@
         {
             return restore(bytes);
         };
-        callbacks.stored = [this](std::string_view entry)
+        callbacks.stored =
+            [this](replica::log_index index, std::string_view entry)
         {
-            take_stored(entry);
+            take_stored(index, entry);
         };
         callbacks.send =
             [this](const vm_id& to, const std::vector<std::uint8_t>& bytes)
@@ -723,9 +773,9 @@
         if (is_ok(restored))
         {
             publish();
-            if (m_feed)
+            if (!m_feed)
             {
-                restore_departures();
+                m_found_departures = m_state.departures();
             }
         }
         return restored;
@@ -752,8 +802,12 @@
     std::optional<group_discovery> m_discovery;
     std::unique_ptr<directory_feed> m_feed;
     std::unique_ptr<departure_recorder> m_departures;
+    /// Departures that the disk held at the start.
+    directory::departure_table m_found_departures;
     /// Departures of stored log entries that are not in force yet.
     std::vector<directory::registration> m_stored_departures;
+    /// Log index up to which applied departures are in force.
+    std::uint64_t m_departures_in_force = 0;
     std::unique_ptr<claims_service> m_claims;
     std::unique_ptr<follower_reads> m_reads;
     std::unique_ptr<order_service> m_orders;
--- a/libs/control/src/control_state.cpp
+++ b/libs/control/src/control_state.cpp
@@ -90,15 +90,15 @@
     return departure_kind + encode(report);
 }
 
-std::vector<directory::registration> departures_in(std::string_view entry)
+std::optional<directory::departure_report> departures_in(std::string_view entry)
 {
     if (!entry.starts_with(departure_kind))
     {
-        return {};
+        return std::nullopt;
     }
     auto report = directory::decode_departure_report(entry.substr(1));
-    return is_ok(report) ? std::move(value_of(report).servers)
-                         : std::vector<directory::registration>();
+    return is_ok(report) ? std::optional(std::move(value_of(report)))
+                         : std::nullopt;
 }
 
 control_state::control_state(std::uint64_t group)
@@ -136,13 +136,9 @@
             return answer_to(m_orders.apply(index, value_of(command)));
         }
     }
-    if (entry.starts_with(departure_kind))
+    if (const auto report = departures_in(entry))
     {
-        const auto report = directory::decode_departure_report(entry.substr(1));
-        if (is_ok(report))
-        {
-            m_departures.apply(index, value_of(report));
-        }
+        m_departures.apply(index, *report);
     }
     return {};
 }
--- a/libs/control/src/control_state.hpp
+++ b/libs/control/src/control_state.hpp
@@ -10,9 +10,9 @@
 #include <limpet/directory/intent.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace limpet::control
 {
@@ -36,8 +36,9 @@
 /// skip it.
 std::string make_entry(const directory::departure_report& report);
 
-/// Returns the departures in the log entry, none if it is of another kind.
-std::vector<directory::registration> departures_in(std::string_view entry);
+/// Returns the report in the log entry, nullopt if it is of another kind.
+std::optional<directory::departure_report>
+departures_in(std::string_view entry);
 
 /// The configuration, the claims, the operators' orders for the fleet and the
 /// departures of backend servers, all built from one log. Deterministic: equal
--- a/libs/control/test/control_group_test.cpp
+++ b/libs/control/test/control_group_test.cpp
@@ -452,6 +452,13 @@
     }
     // A majority has stored it, one of them the replica that was lost.
     BOOST_TEST(aware >= 1U);
+    // The replica with the empty disk learns of it.
+    run_until(
+        [this]
+        {
+            return orders[0]->take(heartbeat(4)) ==
+                   directory::merge_result::stale;
+        });
 }
 
 BOOST_FIXTURE_TEST_CASE(server_that_the_replica_does_not_know_is_deregistered,
--- a/libs/control/test/flooded_fleet.cpp
+++ b/libs/control/test/flooded_fleet.cpp
@@ -446,10 +446,9 @@
     {
         for (const storage::log_entry& entry : each.entries)
         {
-            const auto departed = departures_in(entry.data);
-            if (!departed.empty())
+            if (const auto report = departures_in(entry.data))
             {
-                take_departures(replica, departed);
+                take_departures(replica, report->servers);
             }
         }
     }
@@ -483,9 +482,9 @@
         {
             continue;
         }
-        if (const auto departed = departures_in(entry.data); !departed.empty())
+        if (const auto report = departures_in(entry.data))
         {
-            self.departures.apply(entry.index.get(), {departed, 0});
+            self.departures.apply(entry.index.get(), *report);
             continue;
         }
         directory::command order;
--- a/libs/directory/include/limpet/directory/departures.hpp
+++ b/libs/directory/include/limpet/directory/departures.hpp
@@ -66,7 +66,10 @@
     /// recorded.
     bool has_departed(const engine_id& id, std::uint64_t born_ms) const;
 
-    void for_each(const std::function<void(const entry&)>& visit) const;
+    /// Calls `visit` for each departure recorded after the log index, in the
+    /// order of the log.
+    void for_each_after(std::uint64_t index,
+                        const std::function<void(const entry&)>& visit) const;
 
     std::size_t size() const noexcept
     {
--- a/libs/directory/src/departures.cpp
+++ b/libs/directory/src/departures.cpp
@@ -169,12 +169,14 @@
     return found != m_entries.end() && found->second.server.born_ms >= born_ms;
 }
 
-void departure_table::for_each(
-    const std::function<void(const entry&)>& visit) const
+void departure_table::for_each_after(
+    std::uint64_t index, const std::function<void(const entry&)>& visit) const
 {
-    for (const auto& [id, each] : m_entries)
+    for (auto each = m_by_index.lower_bound({index + 1, engine_id()});
+         each != m_by_index.end();
+         ++each)
     {
-        visit(each);
+        visit(m_entries.at(each->second));
     }
 }
 
@@ -183,7 +185,8 @@
 {
     std::vector<flatbuffers::Offset<fb::departure>> departures;
     departures.reserve(from.size());
-    from.for_each(
+    from.for_each_after(
+        0,
         [&builder, &departures](const departure_table::entry& each)
         {
             departures.push_back(fb::Createdeparture(
--- a/libs/directory/test/departures_test.cpp
+++ b/libs/directory/test/departures_test.cpp
@@ -114,6 +114,26 @@
     BOOST_TEST(table.covers(make_departure("a", 1000)));
 }
 
+BOOST_AUTO_TEST_CASE(departures_are_visited_in_the_order_of_the_log)
+{
+    record(make_departure("b", 1000));
+    record(make_departure("a", 1000));
+    record(make_departure("c", 1000));
+    const auto ids_after = [this](std::uint64_t after)
+    {
+        std::string ids;
+        table.for_each_after(after,
+                             [&ids](const departure_table::entry& each)
+                             {
+                                 ids += each.server.id.get();
+                             });
+        return ids;
+    };
+    BOOST_TEST(ids_after(0) == "bac");
+    BOOST_TEST(ids_after(1) == "ac");
+    BOOST_TEST(ids_after(3).empty());
+}
+
 /// Guards against a state that grows with every server that was ever there.
 BOOST_AUTO_TEST_CASE(departures_beyond_the_limit_replace_the_oldest)
 {
--- a/libs/replica/include/limpet/replica/replica.hpp
+++ b/libs/replica/include/limpet/replica/replica.hpp
@@ -74,7 +74,7 @@
     /// Called with each command that this replica stores, before it is
     /// committed, and at the start with those that it has stored; may be empty.
     /// A command that is not committed may be replaced later.
-    std::function<void(std::string_view)> stored;
+    std::function<void(log_index, std::string_view)> stored;
     /// Sends a message to the replica on the VM. Messages may be dropped,
     /// delayed or reordered.
     std::function<void(const vm_id&, std::vector<std::uint8_t>)> send;
--- a/libs/replica/src/replica_impl.cpp
+++ b/libs/replica/src/replica_impl.cpp
@@ -376,7 +376,7 @@
     {
         if (each.kind == storage::entry_kind::command)
         {
-            m_callbacks.stored(each.data);
+            m_callbacks.stored(each.index, each.data);
         }
     }
 }
