--- a/libs/replica/test/replica_test.cpp
+++ b/libs/replica/test/replica_test.cpp
@@ -74,6 +74,8 @@
     {
         std::unique_ptr<replica> instance;
         std::string state;
+        /// Commands that the replica has stored since its start.
+        std::string stored;
         /// Whether this release cannot read the group's snapshots.
         bool refuses_snapshots = false;
     };
@@ -115,7 +117,12 @@
     {
         vm& owner = vms[name];
         owner.state.clear();
+        owner.stored.clear();
         replica_callbacks result;
+        result.stored = [&owner](log_index, std::string_view command)
+        {
+            owner.stored.append(command);
+        };
         result.apply = [&owner](log_index, std::string_view command)
         {
             owner.state.append(command);
@@ -309,6 +316,39 @@
     check_all_have(expected);
 }
 
+/// Guards against departures of servers that take effect only after an
+/// election, if the leader is lost.
+BOOST_AUTO_TEST_CASE(command_is_reported_as_stored_before_it_is_committed)
+{
+    start_all();
+    replica* const leading = leader();
+    std::vector<vm_id> followers;
+    for (const vm_id& name : names)
+    {
+        if (vms[name].instance.get() != leading)
+        {
+            followers.push_back(name);
+        }
+    }
+    // Without the followers nothing is committed.
+    for (const vm_id& name : followers)
+    {
+        vms[name].instance.reset();
+    }
+    leading->propose("x", [](const outcome<proposal_result>& /*result*/) {});
+    const auto self = leading->view().self.vm;
+    run_until(
+        [this, &self]
+        {
+            return vms[self].stored == "x";
+        });
+    BOOST_TEST(vms[self].state.empty());
+    vms[self].instance.reset();
+    BOOST_REQUIRE(is_ok(start(self)));
+    BOOST_TEST(vms[self].stored == "x");
+    BOOST_TEST(vms[self].state.empty());
+}
+
 BOOST_AUTO_TEST_CASE(replica_wiped_is_rebuilt_from_its_peers)
 {
     start_all();
