Soak: servers that leave ask again, as a replica may refuse during an election

departures.py took a refusal by the only replica it asked for a broken promise, which a busy machine's election can cause. A server asks up to four times now, and replicas end once both departures are acknowledged.

--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -40,6 +40,8 @@
 DOWN_S = 3.5
 ALL_DOWN_S = 0.95
 LATE_S = 3.0
+# How often a server asks for an acknowledgement.
+TRIES = 4
 # The sheets' bound for an acknowledgement.
 ACKED_WITHIN_S = 4.0
 # Routers and replicas that have started again serve after this long.
@@ -78,23 +80,24 @@
             server.service, "%s:%d" % server.place[1], server.data_centre,
             server.version, state, server.sequence, server.born_ms)
 
-    async def leave(self, replica, *others):
-        """Deregisters; asks the other replicas if the first does not
-        acknowledge it."""
+    async def leave(self, *replicas):
+        """Deregisters at the replicas in turn, until one acknowledges it."""
+        return await self._until_acked(replicas, lambda: ("DELETE",))
+
+    async def drain(self, replica):
+        """Says that it drains, until that is acknowledged."""
+        return await self._until_acked(
+            [replica], lambda: ("PUT", self.report("draining")))
+
+    async def _until_acked(self, replicas, message):
+        """A replica may refuse, as during an election."""
         self.server.beats.cancel()
-        for each in (replica, *others):
-            if await self.call(each, "DELETE") == 200:
+        for each in itertools.islice(itertools.cycle(replicas), TRIES):
+            if await self.call(each, *message()) == 200:
                 self.acked_at = self.world.record.now()
                 return True
         return False
 
-    async def drain(self, replica):
-        """Says once that it drains."""
-        self.server.beats.cancel()
-        if await self.call(replica, "PUT", self.report("draining")) == 200:
-            self.acked_at = self.world.record.now()
-        return self.acked_at is not None
-
     def late_runs(self):
         since = self.acked_at + self.world.bounds["drain_s"]
         return sorted(
@@ -114,12 +117,11 @@
     """A replica ends right after it has acknowledged two departures."""
     processes.RESTART_S = DOWN_S
     replica = world.random.choice(list(world.replicas))
-    first, second = leavers
-    done = asyncio.create_task(first.leave(replica))
+    first = asyncio.create_task(leavers[0].leave(replica))
     await asyncio.sleep(0.01)
-    is_left = await second.leave(replica)
+    states = await asyncio.gather(first, leavers[1].leave(replica))
     end(world, [replica], number)
-    return is_left and await done
+    return all(states)
 
 
 async def replica_stopped(world, leavers):
@@ -163,9 +165,8 @@
     await replica.restarted()
     until = world.record.now() + 5.0
     leaver = leavers[0]
-    while not leaver.acked_at and world.record.now() < until:
-        if not await leaver.leave(name):
-            await asyncio.sleep(0.002)
+    while not await leaver.leave(name) and world.record.now() < until:
+        await asyncio.sleep(0.002)
     return leaver.acked_at is not None and await leavers[1].leave(*others)
 
 
@@ -273,8 +274,10 @@
     """Deregisters at one replica after the other; the one that acknowledges
     ends at once if it is of the new build."""
     begun = world.record.now()
-    for name in itertools.chain(*[names] * 3):
-        if await leaver.leave(name):
+    leaver.server.beats.cancel()
+    for name in itertools.chain(names, names):
+        if await leaver.call(name, "DELETE") == 200:
+            leaver.acked_at = world.record.now()
             if is_new(world, name) and is_new_majority(world):
                 end(world, [name])
             break
