Control: a server that left, started again and leaves once more is recorded

Callers saw requests run by a server that had left: it left, started again under its id, and 6 s later deregistered at a replica that had just started.

Cause: the replica knew the former departure from the log, and not yet the later start; it took the deregistration for a repetition. The same at any replica within half a second of the later start's first heartbeat elsewhere.

Change: a deregistration of a server that is gone or unknown here is put to the leader, which knows the later start, records it, or refuses if it may be one of another start: for 5 s after the later one as before, and when the replica named a former one. A repetition takes a call now, still no entry.

--- a/libs/control/src/departure_recorder.cpp
+++ b/libs/control/src/departure_recorder.cpp
@@ -73,7 +73,7 @@
                                 callback done)
 {
     const time_point now = m_loop.now();
-    if (m_callbacks.recorded().covers(departure))
+    if (!is_unknown(departure) && m_callbacks.recorded().covers(departure))
     {
         done(success());
         return;
@@ -353,27 +353,44 @@
 std::vector<directory::registration> departure_recorder::take_refused(
     std::vector<directory::registration>& departures) const
 {
-    const auto refused = std::stable_partition(
-        departures.begin(),
-        departures.end(),
-        [this](const directory::registration& each)
-        {
-            return !is_unknown(each) || m_callbacks.recorded().covers(each) ||
-                   !m_callbacks.servers().is_start_ambiguous(each.id,
-                                                             m_loop.now());
-        });
+    const auto refused =
+        std::stable_partition(departures.begin(),
+                              departures.end(),
+                              [this](const directory::registration& each)
+                              {
+                                  return !may_be_of_another_start(each);
+                              });
     std::vector<directory::registration> result(refused, departures.end());
     departures.erase(refused, departures.end());
     return result;
 }
 
+/// A deregistration does not tell its start, so the replica that the server has
+/// reported to names the one that it knows.
+bool departure_recorder::may_be_of_another_start(
+    const directory::registration& departure) const
+{
+    const auto& servers = m_callbacks.servers();
+    const auto* known = servers.find(departure.id);
+    if (departure.state != directory::server_state::gone || known == nullptr ||
+        known->state == directory::server_state::gone)
+    {
+        return false;
+    }
+    return is_unknown(departure)
+               ? servers.is_start_ambiguous(departure.id, m_loop.now())
+               : known->born_ms > departure.born_ms;
+}
+
 void departure_recorder::resolve(directory::registration& departure) const
 {
-    if (!is_unknown(departure))
+    const auto* known = m_callbacks.servers().find(departure.id);
+    const bool is_recorded =
+        known == nullptr && m_callbacks.recorded().covers(departure);
+    if (!is_unknown(departure) || is_recorded)
     {
         return;
     }
-    const auto* known = m_callbacks.servers().find(departure.id);
     // No start of an unknown server is later than now.
     departure.born_ms =
         known == nullptr ? m_callbacks.unix_ms() : known->born_ms;
--- a/libs/control/src/departure_recorder.hpp
+++ b/libs/control/src/departure_recorder.hpp
@@ -67,9 +67,10 @@
 
     /// Calls back once a majority of the group has stored the departure, at
     /// most answer_timeout later. A server that is gone and has no time of its
-    /// start is one that this replica does not know. Errors: unavailable if it
-    /// is unknown whether the departure is recorded; conflict if the server has
-    /// started again, so that the departure may be one of its earlier start.
+    /// start is one that this replica does not know, or knows to be gone; the
+    /// leader may know a later start. Errors: unavailable if it is unknown
+    /// whether the departure is recorded; conflict if it may be one of another
+    /// start of the server.
     void record(directory::registration departure, callback done);
 
     /// Handles the departures that another replica asks this one to record.
@@ -129,6 +130,9 @@
     /// Removes the departures that are refused, and returns them.
     std::vector<directory::registration>
     take_refused(std::vector<directory::registration>& departures) const;
+    /// Returns whether the server may have meant another of its starts.
+    bool
+    may_be_of_another_start(const directory::registration& departure) const;
     /// Determines the start of a server that the replica it has reported to
     /// does not know.
     void resolve(directory::registration& departure) const;
--- a/libs/control/src/order_service.cpp
+++ b/libs/control/src/order_service.cpp
@@ -305,7 +305,8 @@
     directory::registration departure;
     departure.id = id;
     const auto* known = m_feed.registrations().find(id);
-    if (known != nullptr)
+    // Of a server that was gone before, the leader may know a later start.
+    if (known != nullptr && result == directory::merge_result::changed)
     {
         departure = *known;
     }
