Control: a late report that a server drains is acknowledged once it is recorded

A report that arrives after a later one of the same server was answered 200 at once, also if the later one was not stored by a majority. It is recorded now unless a departure of that start is. Test: late_word_that_a_server_drains_is_recorded; with the former condition the heartbeat of before is in force after a restart of all.

--- a/libs/control/src/order_service.cpp
+++ b/libs/control/src/order_service.cpp
@@ -284,10 +284,8 @@
                                directory::merge_result taken)
 {
     // A server repeats its report with each heartbeat.
-    const bool is_repeated =
-        taken == directory::merge_result::refreshed &&
-        m_state.departures().has_departed(reported.id, reported.born_ms);
-    if (is_repeated || taken == directory::merge_result::stale)
+    if (taken != directory::merge_result::changed &&
+        m_state.departures().has_departed(reported.id, reported.born_ms))
     {
         co_return success();
     }
--- a/libs/control/test/control_group_test.cpp
+++ b/libs/control/test/control_group_test.cpp
@@ -436,6 +436,26 @@
     }
 }
 
+/// Guards against an acknowledgement of a report that arrives after a later
+/// one, which no majority has stored.
+BOOST_FIXTURE_TEST_CASE(late_word_that_a_server_drains_is_recorded,
+                        seeded_group_fixture)
+{
+    directory::registration draining = heartbeat(5);
+    draining.state = directory::server_state::draining;
+    orders[1]->take(draining);
+    draining.sequence = 4;
+    const auto taken = orders[1]->take(draining);
+    BOOST_TEST((taken == directory::merge_result::stale));
+    while (!is_ok(wait(orders[1]->record_draining(draining, taken))))
+    {
+        context.run_one();
+    }
+    restart_all();
+    BOOST_TEST(
+        (orders[0]->take(heartbeat(3)) == directory::merge_result::stale));
+}
+
 /// Guards against an acknowledgement of what only one replica knows.
 BOOST_FIXTURE_TEST_CASE(deregistration_survives_the_replica_that_took_it,
                         seeded_group_fixture)
