Control: when departures take effect is decided in one part, with tests

control_server decided it beside its sockets, where no test reached it, and the simulated fleet did it otherwise. departure_intake has the decision, and both use it; had no test of its own and has some now. The order of two registrations, the states that count as leaving, the retention and the reason of a refusal were written twice and are once now.

--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -2,6 +2,7 @@
 #include "claims_service.hpp"
 #include "config_source.hpp"
 #include "control_state.hpp"
+#include "departure_intake.hpp"
 #include "departure_recorder.hpp"
 #include "directory_feed.hpp"
 #include "follower_reads.hpp"
@@ -344,29 +345,13 @@
         }
     }
 
-    /// Puts departures in force that were recorded after the log index.
-    void put_in_force(const directory::departure_table& recorded,
-                      std::uint64_t after)
-    {
-        std::vector<directory::registration> departed;
-        recorded.for_each_after(
-            after,
-            [&departed](const directory::departure_table::entry& each)
-            {
-                departed.push_back(each.server);
-            });
-        m_feed->take_departures(departed);
-    }
-
-    /// Puts the departures in force that the disk holds, committed or not. Its
-    /// log also has those that were forgotten since the last snapshot.
+    /// Puts the departures in force that the disk holds, committed or not.
     void restore_departures()
     {
-        log_event(log_level::info,
-                  "departure.restored",
-                  {{"servers", m_found_departures.size()}});
-        put_in_force(m_found_departures, 0);
-        m_found_departures = {};
+        const auto found = m_intake.start();
+        log_event(
+            log_level::info, "departure.restored", {{"servers", found.size()}});
+        m_feed->take_departures(found);
     }
 
     bool is_voter() const
@@ -380,17 +365,9 @@
                            });
     }
 
-    /// Puts the departures in force that this replica has applied. Most are
-    /// since they were stored; a learner waits until it is a voter, as the log
-    /// that it receives has departures that were forgotten long ago.
     void update_departures()
     {
-        const std::uint64_t newest = m_state.departures().last_index();
-        if (newest > m_departures_in_force && is_voter())
-        {
-            put_in_force(m_state.departures(), m_departures_in_force);
-            m_departures_in_force = newest;
-        }
+        m_feed->take_departures(m_intake.apply(m_state.departures()));
         m_departures->update();
     }
 
@@ -429,29 +406,18 @@
         restore_departures();
     }
 
-    /// Puts departures in force that this replica has received from the leader.
-    /// They are what servers have said of themselves, so it need not wait until
-    /// they are committed, which may take an election.
+    /// Puts the departures of a stored entry in force, after the replica has
+    /// handled the message that brought it.
     void take_stored(replica::log_index index, std::string_view entry)
     {
-        const auto report = departures_in(entry);
-        if (!report)
-        {
-            return;
-        }
-        if (!m_feed)
-        {
-            m_found_departures.apply(index.get(), *report);
-            return;
-        }
-        if (report->servers.empty() || !is_voter())
+        const auto departed = m_intake.store(index.get(), entry);
+        if (departed.empty())
         {
             return;
         }
         const bool is_first = m_stored_departures.empty();
-        m_stored_departures.insert(m_stored_departures.end(),
-                                   report->servers.begin(),
-                                   report->servers.end());
+        m_stored_departures.insert(
+            m_stored_departures.end(), departed.begin(), departed.end());
         if (is_first)
         {
             net::post(m_context,
@@ -775,7 +741,7 @@
             publish();
             if (!m_feed)
             {
-                m_found_departures = m_state.departures();
+                m_intake.restore(m_state.departures());
             }
         }
         return restored;
@@ -802,12 +768,12 @@
     std::optional<group_discovery> m_discovery;
     std::unique_ptr<directory_feed> m_feed;
     std::unique_ptr<departure_recorder> m_departures;
-    /// Departures that the disk held at the start.
-    directory::departure_table m_found_departures;
+    departure_intake m_intake{[this]
+                              {
+                                  return is_voter();
+                              }};
     /// Departures of stored log entries that are not in force yet.
-    std::vector<directory::registration> m_stored_departures;
-    /// Log index up to which applied departures are in force.
-    std::uint64_t m_departures_in_force = 0;
+    departure_intake::departures m_stored_departures;
     std::unique_ptr<claims_service> m_claims;
     std::unique_ptr<follower_reads> m_reads;
     std::unique_ptr<order_service> m_orders;
--- /dev/null
+++ b/libs/control/src/departure_intake.cpp
@@ -0,0 +1,73 @@
+#include "departure_intake.hpp"
+
+#include "control_state.hpp"
+
+#include <utility>
+
+namespace limpet::control
+{
+
+namespace
+{
+
+departure_intake::departures
+departures_after(const directory::departure_table& table, std::uint64_t index)
+{
+    departure_intake::departures result;
+    table.for_each_after(
+        index,
+        [&result](const directory::departure_table::entry& each)
+        {
+            result.push_back(each.server);
+        });
+    return result;
+}
+
+} // namespace
+
+departure_intake::departure_intake(std::function<bool()> is_voter)
+    : m_is_voter(std::move(is_voter))
+{
+}
+
+void departure_intake::restore(const directory::departure_table& snapshot)
+{
+    m_found = snapshot;
+}
+
+departure_intake::departures departure_intake::store(std::uint64_t index,
+                                                     std::string_view entry)
+{
+    auto report = departures_in(entry);
+    if (!report)
+    {
+        return {};
+    }
+    if (!m_is_started)
+    {
+        m_found.apply(index, *report);
+        return {};
+    }
+    return report->servers.empty() || !m_is_voter()
+               ? departures()
+               : std::move(report->servers);
+}
+
+departure_intake::departures departure_intake::start()
+{
+    m_is_started = true;
+    return departures_after(std::exchange(m_found, {}), 0);
+}
+
+departure_intake::departures
+departure_intake::apply(const directory::departure_table& applied)
+{
+    const std::uint64_t newest = applied.last_index();
+    if (newest <= m_applied_index || !m_is_voter())
+    {
+        return {};
+    }
+    return departures_after(applied, std::exchange(m_applied_index, newest));
+}
+
+} // namespace limpet::control
--- a/libs/control/src/departure_recorder.cpp
+++ b/libs/control/src/departure_recorder.cpp
@@ -27,9 +27,6 @@
 constexpr duration leaderless_time = seconds(2);
 /// Interval at which a leader that did not reply in time is tried again.
 constexpr duration silent_leader_interval = seconds(1);
-/// Time for which a departure is remembered, like the rows of servers that
-/// left: messages that the server sent before may be late by seconds.
-constexpr duration retention = seconds(60);
 /// Interval between two entries that let departures be forgotten.
 constexpr duration forget_interval = seconds(10);
 /// Set in the ids of calls: those of follower_reads on the same channel count
@@ -44,12 +41,6 @@
     return {error_code::unavailable, std::move(reason)};
 }
 
-error started_again()
-{
-    return {error_code::conflict,
-            "the server has started again a short time ago"};
-}
-
 /// Returns whether the replica that the server has reported to does not know
 /// it.
 bool is_unknown(const directory::registration& departure)
@@ -60,6 +51,12 @@
 
 } // namespace
 
+error started_again()
+{
+    return {error_code::conflict,
+            "the server has started again a short time ago"};
+}
+
 departure_recorder::departure_recorder(event_loop loop,
                                        recorder_callbacks callbacks)
     : m_loop(std::move(loop)),
@@ -469,7 +466,8 @@
         m_noted_index = newest;
         m_recorded.emplace_back(now, newest);
     }
-    while (!m_recorded.empty() && m_recorded.front().first <= now - retention)
+    while (!m_recorded.empty() &&
+           m_recorded.front().first <= now - directory::departure_retention)
     {
         m_expired_index = m_recorded.front().second;
         m_recorded.pop_front();
--- a/libs/control/src/departure_recorder.hpp
+++ b/libs/control/src/departure_recorder.hpp
@@ -55,6 +55,9 @@
     std::uint64_t failed = 0;
 };
 
+/// Returns why a deregistration of a server that has started again is refused.
+error started_again();
+
 /// Records departures in the log through the leader. Departures that arrive
 /// while others are on their way form one entry, so that a flood of them takes
 /// few writes. Not thread-safe.
--- a/libs/control/src/directory_feed.cpp
+++ b/libs/control/src/directory_feed.cpp
@@ -50,14 +50,7 @@
 constexpr int missed_heartbeats = 5;
 /// Time for which the row of a server that left or is silent is retained, so
 /// that delayed registrations of it are recognized as stale.
-constexpr duration tombstone_retention = seconds(60);
-
-/// Returns whether the server must get no more requests.
-bool is_leaving(const directory::registration& row)
-{
-    return row.state == directory::server_state::draining ||
-           row.state == directory::server_state::gone;
-}
+constexpr duration tombstone_retention = directory::departure_retention;
 
 } // namespace
 
@@ -245,6 +238,10 @@
 void directory_feed::take_departures(
     const std::vector<directory::registration>& departed)
 {
+    if (departed.empty())
+    {
+        return;
+    }
     const work_meter::timer work(m_meter, work_kind::registration);
     bool is_change = false;
     for (directory::registration each : departed)
--- a/libs/control/src/order_service.cpp
+++ b/libs/control/src/order_service.cpp
@@ -297,8 +297,7 @@
     const directory::merge_result result = m_feed.leave(id);
     if (result == directory::merge_result::ambiguous)
     {
-        co_return error{error_code::conflict,
-                        "the server has started again a short time ago"};
+        co_return started_again();
     }
     directory::registration departure;
     departure.id = id;
--- a/libs/control/test/flooded_fleet.cpp
+++ b/libs/control/test/flooded_fleet.cpp
@@ -159,6 +159,10 @@
     /// Versions of the configurations by the tickets of their proposals.
     std::map<consensus::ticket, std::uint64_t> proposals;
     std::unique_ptr<departure_recorder> recorder;
+    departure_intake intake{[]
+                            {
+                                return true;
+                            }};
     directory::departure_table departures;
     std::map<consensus::ticket, replica::proposal_callback> reports;
     std::uint64_t last_ticket = 0;
@@ -331,6 +335,7 @@
         self.feed->add_contact(replica_name(i));
     }
     make_recorder(index, loop);
+    self.intake.start();
     m_clock.at(m_clock.now() + duration(m_random.below(500'000'000)),
                [&self]
                {
@@ -446,10 +451,9 @@
     {
         for (const storage::log_entry& entry : each.entries)
         {
-            if (const auto report = departures_in(entry.data))
-            {
-                take_departures(replica, report->servers);
-            }
+            take_departures(replica,
+                            m_replicas[replica]->intake.store(entry.index.get(),
+                                                              entry.data));
         }
     }
     if (!work.persists.empty())
--- a/libs/control/test/flooded_fleet.hpp
+++ b/libs/control/test/flooded_fleet.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "control_state.hpp"
+#include "departure_intake.hpp"
 #include "departure_recorder.hpp"
 #include "directory_feed.hpp"
 #include "simulated_process.hpp"
--- a/libs/directory/include/limpet/directory/departures.hpp
+++ b/libs/directory/include/limpet/directory/departures.hpp
@@ -20,6 +20,10 @@
 namespace limpet::directory
 {
 
+/// Time for which a departure is remembered: messages that the server sent
+/// before may be late by seconds.
+constexpr duration departure_retention = seconds(60);
+
 /// Returns the departure of a server that drains or is gone. A server that is
 /// gone is described by its id, start and sequence alone.
 registration departure_of(const registration& server);
--- a/libs/directory/include/limpet/directory/registration.hpp
+++ b/libs/directory/include/limpet/directory/registration.hpp
@@ -56,6 +56,13 @@
     time_point heard_at{};
 };
 
+/// Returns whether the server must get no more requests.
+bool is_leaving(const registration& server) noexcept;
+
+/// Returns whether `a` is older than `b`, a registration of the same id: of an
+/// earlier start, of the same start and not gone, or else of a lower sequence.
+bool is_older(const registration& a, const registration& b);
+
 /// Result of merging a registration into the table.
 enum class merge_result
 {
--- a/libs/directory/src/departures.cpp
+++ b/libs/directory/src/departures.cpp
@@ -4,8 +4,6 @@
 
 #include <limpet/directory/departures.hpp>
 
-#include <tuple>
-
 namespace limpet::directory
 {
 
@@ -43,19 +41,6 @@
                                   version);
 }
 
-/// Orders the departures of one id.
-auto version_of(const registration& each)
-{
-    return std::make_tuple(
-        each.born_ms, each.state == server_state::gone, each.sequence);
-}
-
-bool is_departure(const registration& each)
-{
-    return each.state == server_state::draining ||
-           each.state == server_state::gone;
-}
-
 } // namespace
 
 registration departure_of(const registration& server)
@@ -125,12 +110,12 @@
 
 void departure_table::record(std::uint64_t index, const registration& server)
 {
-    if (!is_departure(server))
+    if (!is_leaving(server))
     {
         return;
     }
     const auto [found, is_new] = m_entries.try_emplace(server.id);
-    if (!is_new && version_of(server) < version_of(found->second.server))
+    if (!is_new && is_older(server, found->second.server))
     {
         return;
     }
@@ -159,7 +144,7 @@
     const registration& known = found->second.server;
     return known.state == server_state::gone
                ? known.born_ms >= departure.born_ms
-               : version_of(known) >= version_of(departure);
+               : !is_older(known, departure);
 }
 
 bool departure_table::has_departed(const engine_id& id,
--- a/libs/directory/src/registration.cpp
+++ b/libs/directory/src/registration.cpp
@@ -90,6 +90,17 @@
 
 } // namespace
 
+bool is_leaving(const registration& server) noexcept
+{
+    return server.state == server_state::draining ||
+           server.state == server_state::gone;
+}
+
+bool is_older(const registration& a, const registration& b)
+{
+    return version_of(a) < version_of(b);
+}
+
 std::size_t digest_index(const engine_id& id) noexcept
 {
     return stable_hash(id.get()) % digest_count;
@@ -157,7 +168,7 @@
         return merge_result::changed;
     }
     registration& current = found->second.value;
-    if (version_of(incoming) < version_of(current))
+    if (is_older(incoming, current))
     {
         return merge_result::stale;
     }
