--- a/libs/claims/src/claim_snapshot.cpp
+++ b/libs/claims/src/claim_snapshot.cpp
@@ -134,8 +134,9 @@
 outcome<claim_table> claim_table::restore(std::string_view snapshot,
                                           const claim_limits& limits)
 {
-    const auto* header =
-        verified_root<fb::SnapshotHeader>(read_record(snapshot));
+    // FlatBuffers are read in place, so their bytes must be aligned.
+    const std::string aligned(read_record(snapshot));
+    const auto* header = verified_root<fb::SnapshotHeader>(aligned);
     if (header == nullptr || header->format() != snapshot_format)
     {
         return malformed;
