--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -172,6 +172,45 @@
     return leaver.acked_at is not None and await leavers[1].leave(*others)
 
 
+async def replica_frozen(world, leavers):
+    """A replica stands still from before two departures to after them, and then
+    finds heartbeats of before in its queue."""
+    names = list(world.replicas)
+    world.random.shuffle(names)
+    beats = [each.report("ready") for each in leavers]
+    world.record.disturb(names[0])
+    world.replicas[names[0]].signal(signal.SIGSTOP)
+    late = [asyncio.create_task(each.call(names[0], "PUT", beat))
+            for each, beat in zip(leavers, beats)]
+    states = await asyncio.gather(leavers[0].leave(*names[1:]),
+                                  leavers[1].leave(*names[1:]))
+    await asyncio.sleep(world.random.choice((0.5, DOWN_S)))
+    world.replicas[names[0]].signal(signal.SIGCONT)
+    await asyncio.gather(*late)
+    return all(states)
+
+
+async def disk_lost(world, leavers):
+    """The replica that acknowledged departures comes back with an empty disk,
+    and is sent heartbeats of before as soon as it listens."""
+    processes.RESTART_S = 0.2
+    name = world.random.choice(list(world.replicas))
+    replica = world.replicas[name]
+    beats = [each.report("ready") for each in leavers]
+    states = [await leavers[0].leave(name), await leavers[1].drain(name)]
+    world.record.disturb(name)
+    child = replica.child
+    await replica.wipe()
+    while replica.child is child:
+        await asyncio.sleep(0.002)
+    until = world.record.now() + 5.0
+    for each, beat in zip(leavers, beats):
+        while await each.call(name, "PUT", beat) is None and \
+                world.record.now() < until:
+            await asyncio.sleep(0.002)
+    return all(states)
+
+
 async def no_majority(world, leavers):
     """Two of four replicas stand still: a departure is refused in time, and
     takes effect at the routers, which hear from the others."""
@@ -345,8 +384,9 @@
 
 CASES = {each.__name__: each for each in (
     replica_lost, replica_stopped, draining_replica_lost, all_restarted,
-    replica_started, no_majority, disk_full, server_restarted,
-    server_restarted_after_all, restarted_server_leaves, builds_mixed)}
+    replica_started, replica_frozen, disk_lost, no_majority, disk_full,
+    server_restarted, server_restarted_after_all, restarted_server_leaves,
+    builds_mixed)}
 
 
 async def send_requests(world):
