Control: a reply to a read of an earlier start lets no read pass

The same cause as for departures: follower_reads numbered its calls from 1 at each start, so the leader's late reply to a replica that had ended could match a read of its next start, and let it answer with a configuration from before what was acknowledged since. Both senders take their ids from call_ids.hpp.

--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -122,8 +122,8 @@
         }
         m_source = std::make_unique<config_source>(m_state, m_hub);
         m_claims = std::make_unique<claims_service>(*m_replica, m_hub);
-        m_reads =
-            std::make_unique<follower_reads>(m_context, *m_replica, m_hub);
+        m_reads = std::make_unique<follower_reads>(
+            m_context, *m_replica, m_hub, unix_ms());
         m_stream_keeper = std::make_unique<stream_keeper>(m_hub);
         m_operators = std::make_unique<operator_service>(
             m_state, *m_source, *m_replica, *m_hub);
--- a/libs/control/src/departure_recorder.cpp
+++ b/libs/control/src/departure_recorder.cpp
@@ -1,5 +1,6 @@
 #include "departure_recorder.hpp"
 
+#include "call_ids.hpp"
 #include "control_state.hpp"
 
 #include <limpet/base/log.hpp>
@@ -29,12 +30,6 @@
 constexpr duration silent_leader_interval = seconds(1);
 /// Interval between two entries that let departures be forgotten.
 constexpr duration forget_interval = seconds(10);
-/// Set in the ids of calls: those of follower_reads on the same channel count
-/// from 1.
-constexpr std::uint64_t call_id_mark = std::uint64_t{1} << 63U;
-/// Lowest bits of the ids, which count the calls. The others are the time of
-/// the start: a reply to a call of an earlier start must not match.
-constexpr unsigned call_count_bits = 20;
 
 error unavailable(std::string reason)
 {
@@ -61,7 +56,8 @@
                                        recorder_callbacks callbacks)
     : m_loop(std::move(loop)),
       m_callbacks(std::move(callbacks)),
-      m_last_id(call_id_mark | (m_callbacks.unix_ms() << call_count_bits)),
+      m_last_id(
+          call_id_before_first(call_sender::departures, m_callbacks.unix_ms())),
       m_leader_known_at(m_loop.now())
 {
 }
--- a/libs/control/src/follower_reads.cpp
+++ b/libs/control/src/follower_reads.cpp
@@ -1,5 +1,7 @@
 #include "follower_reads.hpp"
 
+#include "call_ids.hpp"
+
 #include <limpet/base/log.hpp>
 
 #include <charconv>
@@ -26,10 +28,12 @@
 
 follower_reads::follower_reads(boost::asio::io_context& context,
                                replica::replica& log,
-                               std::shared_ptr<wire::link_hub> hub)
+                               std::shared_ptr<wire::link_hub> hub,
+                               std::uint64_t start_ms)
     : m_context(context),
       m_log(log),
-      m_hub(std::move(hub))
+      m_hub(std::move(hub)),
+      m_last_id(call_id_before_first(call_sender::reads, start_ms))
 {
 }
 
--- a/libs/control/src/follower_reads.hpp
+++ b/libs/control/src/follower_reads.hpp
@@ -28,10 +28,12 @@
 public:
     using callback = std::function<void(status)>;
 
-    /// The replica must outlive the object.
+    /// The replica must outlive the object. `start_ms` is the Unix time of this
+    /// process's start in milliseconds.
     follower_reads(boost::asio::io_context& context,
                    replica::replica& log,
-                   std::shared_ptr<wire::link_hub> hub);
+                   std::shared_ptr<wire::link_hub> hub,
+                   std::uint64_t start_ms);
 
     /// Calls back once this replica has applied every entry that was
     /// acknowledged before the call. Errors: unavailable.
@@ -61,7 +63,7 @@
     replica::replica& m_log;
     std::shared_ptr<wire::link_hub> m_hub;
     std::map<std::uint64_t, pending_read> m_pending;
-    std::uint64_t m_last_id = 0;
+    std::uint64_t m_last_id;
 };
 
 } // namespace limpet::control
