Control: a learner puts departures in force that are not committed yet

A replica that was down for over 2 s returns as a learner, and heard of departures only from the others' updates, up to 1.7 s later (read, made it wait until it votes). Entries that are committed on their arrival still wait, as they may be of months ago.

--- a/libs/control/src/control_server.cpp
+++ b/libs/control/src/control_server.cpp
@@ -354,15 +354,17 @@
         m_feed->take_departures(found);
     }
 
-    bool is_voter() const
+    log_position position() const
     {
         const replica::replica_view state = m_replica->view();
-        return std::any_of(state.members.begin(),
-                           state.members.end(),
-                           [&state](const replica::member_view& each)
-                           {
-                               return each.voter && each.id == state.self;
-                           });
+        const bool is_voter =
+            std::any_of(state.members.begin(),
+                        state.members.end(),
+                        [&state](const replica::member_view& each)
+                        {
+                            return each.voter && each.id == state.self;
+                        });
+        return {is_voter, state.committed.get()};
     }
 
     void update_departures()
@@ -770,7 +772,7 @@
     std::unique_ptr<departure_recorder> m_departures;
     departure_intake m_intake{[this]
                               {
-                                  return is_voter();
+                                  return position();
                               }};
     /// Departures of stored log entries that are not in force yet.
     departure_intake::departures m_stored_departures;
--- a/libs/control/src/departure_intake.cpp
+++ b/libs/control/src/departure_intake.cpp
@@ -25,8 +25,8 @@
 
 } // namespace
 
-departure_intake::departure_intake(std::function<bool()> is_voter)
-    : m_is_voter(std::move(is_voter))
+departure_intake::departure_intake(std::function<log_position()> position)
+    : m_position(std::move(position))
 {
 }
 
@@ -48,9 +48,9 @@
         m_found.apply(index, *report);
         return {};
     }
-    return report->servers.empty() || !m_is_voter()
-               ? departures()
-               : std::move(report->servers);
+    const log_position now = m_position();
+    return now.is_voter || index > now.committed ? std::move(report->servers)
+                                                 : departures();
 }
 
 departure_intake::departures departure_intake::start()
@@ -63,7 +63,7 @@
 departure_intake::apply(const directory::departure_table& applied)
 {
     const std::uint64_t newest = applied.last_index();
-    if (newest <= m_applied_index || !m_is_voter())
+    if (newest <= m_applied_index || !m_position().is_voter)
     {
         return {};
     }
--- a/libs/control/test/departure_intake_test.cpp
+++ b/libs/control/test/departure_intake_test.cpp
@@ -15,12 +15,12 @@
 
 struct replica_with_log_fixture
 {
-    bool votes = true;
+    log_position position{true, 0};
     control_state state{1};
     std::uint64_t index = 0;
     departure_intake intake{[this]
                             {
-                                return votes;
+                                return position;
                             }};
 
     static std::string ids(const departure_intake::departures& departed)
@@ -47,10 +47,11 @@
         return make_entry(directory::departure_report{{}, until});
     }
 
-    /// Stores the next entry, and applies it.
+    /// Stores the next entry, which is committed already, and applies it.
     std::string add(const std::string& entry)
     {
-        const std::string taken = ids(intake.store(++index, entry));
+        position.committed = ++index;
+        const std::string taken = ids(intake.store(index, entry));
         state.apply(index, entry);
         return taken;
     }
@@ -103,15 +104,25 @@
 /// log.
 BOOST_FIXTURE_TEST_CASE(learner_waits_until_it_votes, started_replica_fixture)
 {
-    votes = false;
+    position.is_voter = false;
     BOOST_TEST(add(departure("a")).empty());
     BOOST_TEST(add(departure("b")).empty());
     BOOST_TEST(ids(intake.apply(state.departures())).empty());
     BOOST_TEST(add(forgetting(1)).empty());
-    votes = true;
+    position.is_voter = true;
     BOOST_TEST(ids(intake.apply(state.departures())) == "b");
 }
 
+/// Guards against replicas that return as learners, and would hear of
+/// departures from the others' updates only.
+BOOST_FIXTURE_TEST_CASE(departure_takes_effect_at_a_learner_before_its_commit,
+                        started_replica_fixture)
+{
+    position.is_voter = false;
+    add(departure("a"));
+    BOOST_TEST(ids(intake.store(++index, departure("b"))) == "b");
+}
+
 /// Guards against departures that a learner stores and applies as a voter.
 BOOST_FIXTURE_TEST_CASE(departure_stored_by_a_learner_is_passed_on_once_applied,
                         started_replica_fixture)
@@ -119,10 +130,11 @@
     add(departure("a"));
     BOOST_TEST(ids(intake.apply(state.departures())) == "a");
     BOOST_TEST(ids(intake.apply(state.departures())).empty());
-    votes = false;
+    position.is_voter = false;
     const std::string entry = departure("b");
-    BOOST_TEST(ids(intake.store(++index, entry)).empty());
-    votes = true;
+    position.committed = ++index;
+    BOOST_TEST(ids(intake.store(index, entry)).empty());
+    position.is_voter = true;
     BOOST_TEST(ids(intake.apply(state.departures())).empty());
     state.apply(index, entry);
     BOOST_TEST(ids(intake.apply(state.departures())) == "b");
--- a/libs/control/test/flooded_fleet.cpp
+++ b/libs/control/test/flooded_fleet.cpp
@@ -160,7 +160,7 @@
     std::unique_ptr<departure_recorder> recorder;
     departure_intake intake{[]
                             {
-                                return true;
+                                return log_position{true, 0};
                             }};
     directory::departure_table departures;
     std::map<consensus::ticket, replica::proposal_callback> reports;
