--- a/libs/control/src/departure_recorder.cpp
+++ b/libs/control/src/departure_recorder.cpp
@@ -37,7 +37,7 @@
 }
 
 /// Returns whether the replica that the server has reported to does not know
-/// it.
+/// the start that leaves.
 bool is_unknown(const directory::registration& departure)
 {
     return departure.state == directory::server_state::gone &&
@@ -358,8 +358,8 @@
     return result;
 }
 
-/// A deregistration does not tell its start, so the replica that the server has
-/// reported to names the one that it knows.
+/// A deregistration does not tell its start: the replica that the server has
+/// reported to names the one that it knows, which may be a former one.
 bool departure_recorder::may_be_of_another_start(
     const directory::registration& departure) const
 {
--- a/libs/control/src/departure_recorder.hpp
+++ b/libs/control/src/departure_recorder.hpp
@@ -136,8 +136,8 @@
     /// Returns whether the server may have meant another of its starts.
     bool
     may_be_of_another_start(const directory::registration& departure) const;
-    /// Determines the start of a server that the replica it has reported to
-    /// does not know.
+    /// Determines the start that leaves, if the replica that the server has
+    /// reported to does not know it.
     void resolve(directory::registration& departure) const;
     /// Returns whether departures can probably not be recorded in time.
     bool is_refusing(time_point now);
--- a/libs/control/test/departure_intake_test.cpp
+++ b/libs/control/test/departure_intake_test.cpp
@@ -51,7 +51,7 @@
     std::string add(const std::string& entry)
     {
         position.committed = ++index;
-        const std::string taken = ids(intake.store(index, entry));
+        std::string taken = ids(intake.store(index, entry));
         state.apply(index, entry);
         return taken;
     }
--- a/libs/control/test/follower_reads_test.cpp
+++ b/libs/control/test/follower_reads_test.cpp
@@ -2,13 +2,16 @@
 /// replies.
 
 #include "follower_reads.hpp"
+#include "recording_hub.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 #include <filesystem>
 #include <optional>
 #include <stdlib.h>
+#include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 using namespace limpet;
@@ -17,22 +20,10 @@
 namespace
 {
 
-/// Link hub that records the calls instead of using a network.
-class call_recording_hub final : public wire::link_hub
+/// Records the sent calls.
+class call_recording_hub final : public detached_hub
 {
 public:
-    const wire::link_identity& self() const override
-    {
-        return m_self;
-    }
-
-    void set_peer(const vm_id& /*peer*/,
-                  const boost::asio::ip::tcp::endpoint& /*at*/) override
-    {
-    }
-
-    void remove_peer(const vm_id& /*peer*/) override {}
-
     status send(const vm_id& /*peer*/,
                 wire::channel /*kind*/,
                 std::string payload) override
@@ -43,24 +34,7 @@
         return success();
     }
 
-    const wire::traffic_counters& counters() const override
-    {
-        return m_counters;
-    }
-
-    status set_fault(const vm_id& /*peer*/, wire::link_fault /*what*/) override
-    {
-        return success();
-    }
-
-    void close() override {}
-
     std::vector<wire::call> calls;
-
-private:
-    wire::link_identity m_self{
-        vm_id("a"), data_centre_id("north"), incarnation(1), ""};
-    wire::traffic_counters m_counters;
 };
 
 /// A group of one replica, which knows itself as the leader.
--- a/libs/control/test/recording_hub.hpp
+++ b/libs/control/test/recording_hub.hpp
@@ -15,8 +15,8 @@
 namespace limpet::control
 {
 
-/// Link hub that records the sent updates instead of using a network.
-class recording_hub final : public wire::link_hub
+/// Link hub without a network.
+class detached_hub : public wire::link_hub
 {
 public:
     const wire::link_identity& self() const override
@@ -31,17 +31,6 @@
 
     void remove_peer(const vm_id& /*peer*/) override {}
 
-    status send(const vm_id& peer,
-                wire::channel /*kind*/,
-                std::string payload) override
-    {
-        auto decoded =
-            directory::decode_update(payload, monotonic_clock::now());
-        BOOST_REQUIRE(is_ok(decoded));
-        sent.emplace_back(peer, std::move(value_of(decoded)));
-        return success();
-    }
-
     const wire::traffic_counters& counters() const override
     {
         return m_counters;
@@ -54,12 +43,28 @@
 
     void close() override {}
 
-    std::vector<std::pair<vm_id, directory::update>> sent;
-
 private:
     wire::link_identity m_self{
         vm_id("10.0.0.1"), data_centre_id("north"), incarnation(1), ""};
     wire::traffic_counters m_counters;
 };
 
+/// Records the sent updates.
+class recording_hub final : public detached_hub
+{
+public:
+    status send(const vm_id& peer,
+                wire::channel /*kind*/,
+                std::string payload) override
+    {
+        auto decoded =
+            directory::decode_update(payload, monotonic_clock::now());
+        BOOST_REQUIRE(is_ok(decoded));
+        sent.emplace_back(peer, std::move(value_of(decoded)));
+        return success();
+    }
+
+    std::vector<std::pair<vm_id, directory::update>> sent;
+};
+
 } // namespace limpet::control
